--- a/internal/coordination/fleetplan/plan.go
+++ b/internal/coordination/fleetplan/plan.go
@@ -39,6 +39,8 @@
 	// takes reclaimable VMs of several zones.
 	OnDemand float64
 	MaxVMs   int
+	// MaxPerZone bounds the capacity in a zone, 0 for no bound.
+	MaxPerZone float64
 }
 
 // Counts is a number of VMs for each slot.
@@ -133,6 +135,11 @@
 			bounds = append(bounds, float64(n)*o.Capacity)
 		}
 	}
+	if d.MaxPerZone > 0 {
+		for i := range bounds {
+			bounds[i] = min(bounds[i], d.MaxPerZone)
+		}
+	}
 	slices.Sort(bounds)
 	return slices.Compact(bounds)
 }
--- /dev/null
+++ b/internal/coordination/quota/quota.go
@@ -0,0 +1,200 @@
+// Package quota holds workspaces to limits that several entry VMs share without
+// asking each other for each request. Every VM models the one bucket that all
+// of them draw from: it takes out what it admits itself and what its peers tell
+// that they have admitted. A peer that is silent is taken to use its even
+// share, so that VMs which are cut off from each other stay within the limit
+// together.
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// Limit is a workspace's quota. PerSecond is 0 where there is none.
+type Limit struct {
+	PerSecond float64
+	Burst     float64
+}
+
+// SilentAfter is when a peer that tells nothing is taken to use its share.
+const SilentAfter = time.Second
+
+// Shared holds the buckets of all workspaces.
+type Shared struct {
+	// mu is a leaf: nothing else is locked while it is held.
+	mu      sync.Mutex
+	extra   float64
+	buckets map[string]*bucket
+	peers   map[string]time.Time
+}
+
+type bucket struct {
+	limit Limit
+	level float64
+	at    time.Time
+	// admitted is what this VM has admitted since its start.
+	admitted uint64
+	heard    map[string]*heard
+}
+
+// heard is what a peer has told of one workspace.
+type heard struct {
+	incarnation uint64
+	total       uint64
+	// assumed is what has been taken out for the peer while it was silent.
+	assumed float64
+}
+
+// New returns limits without workspaces. extra is what a bucket may hold over
+// its burst, for what VMs that see each other late refuse too much.
+func New(extra float64) *Shared {
+	return &Shared{extra: extra, buckets: map[string]*bucket{}, peers: map[string]time.Time{}}
+}
+
+// Configure takes the limits in force. A new bucket begins half full: other
+// VMs may have drawn from it before this one began.
+func (s *Shared) Configure(limits map[string]Limit, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, l := range limits {
+		b, ok := s.buckets[name]
+		if !ok {
+			b = &bucket{level: (l.Burst + s.extra) / 2, at: now, heard: map[string]*heard{}}
+			s.buckets[name] = b
+		}
+		s.refill(b, now)
+		b.limit = l
+		b.level = min(b.level, l.Burst+s.extra)
+	}
+	for name := range s.buckets {
+		if _, ok := limits[name]; !ok {
+			delete(s.buckets, name)
+		}
+	}
+}
+
+// refill adds what has come since the last refill, less the shares of peers
+// that are silent.
+func (s *Shared) refill(b *bucket, now time.Time) {
+	passed := now.Sub(b.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	b.at = now
+	share := b.limit.PerSecond / float64(len(s.peers)+1)
+	for name, at := range s.peers {
+		if now.Sub(at) <= SilentAfter {
+			continue
+		}
+		h := b.of(name)
+		h.assumed += share * passed
+		b.level -= share * passed
+	}
+	b.level = min(b.level+b.limit.PerSecond*passed, b.limit.Burst+s.extra)
+}
+
+func (b *bucket) of(peer string) *heard {
+	h, ok := b.heard[peer]
+	if !ok {
+		h = &heard{}
+		b.heard[peer] = h
+	}
+	return h
+}
+
+// Admit takes cost out of a workspace's bucket. Where it is empty, Admit tells
+// when the cost will be there.
+func (s *Shared) Admit(name string, cost float64, now time.Time) (ok bool, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, known := s.buckets[name]
+	if !known || b.limit.PerSecond <= 0 {
+		return true, 0
+	}
+	s.refill(b, now)
+	// A request larger than the whole bucket passes when the bucket is full.
+	need := min(cost, b.limit.Burst+s.extra)
+	if b.level < need {
+		return false, time.Duration((need - b.level) / b.limit.PerSecond * float64(time.Second))
+	}
+	b.level -= cost
+	b.admitted += uint64(cost)
+	return true, 0
+}
+
+// Refund puts back what a request took that has not run.
+func (s *Shared) Refund(name string, cost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok := s.buckets[name]; ok && b.limit.PerSecond > 0 {
+		b.level = min(b.level+cost, b.limit.Burst+s.extra)
+		b.admitted -= min(uint64(cost), b.admitted)
+	}
+}
+
+// Totals returns what this VM has admitted since its start, by workspace.
+func (s *Shared) Totals() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]uint64, len(s.buckets))
+	for name, b := range s.buckets {
+		if b.limit.PerSecond > 0 && b.admitted > 0 {
+			out[name] = b.admitted
+		}
+	}
+	return out
+}
+
+// SetPeers tells which VMs share the limits with this one.
+func (s *Shared) SetPeers(names []string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[string]bool, len(names))
+	for _, n := range names {
+		present[n] = true
+		if _, ok := s.peers[n]; !ok {
+			s.peers[n] = now
+		}
+	}
+	for n := range s.peers {
+		if !present[n] {
+			delete(s.peers, n)
+			for _, b := range s.buckets {
+				delete(b.heard, n)
+			}
+		}
+	}
+}
+
+// Hear takes what a peer has admitted since its start.
+func (s *Shared) Hear(peer string, incarnation uint64, totals map[string]uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.buckets {
+		s.refill(b, now)
+	}
+	if _, ok := s.peers[peer]; ok {
+		s.peers[peer] = now
+	}
+	for name, total := range totals {
+		b, ok := s.buckets[name]
+		if !ok {
+			continue
+		}
+		h := b.of(peer)
+		if h.incarnation != incarnation {
+			*h = heard{incarnation: incarnation, assumed: h.assumed}
+			if b.limit.PerSecond > 0 && float64(total) > b.limit.Burst {
+				// The peer has run for longer than this VM has known it.
+				h.total = total
+			}
+		}
+		// A refund lowers a total.
+		drawn := float64(int64(total - h.total))
+		h.total = total
+		taken := min(h.assumed, max(drawn, 0))
+		h.assumed = 0
+		b.level = min(b.level-(drawn-taken), b.limit.Burst+s.extra)
+	}
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,504 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
+	"coltsfootpath.example/coltsfootpath/internal/state/site"
+	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
+	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
+	"coltsfootpath.example/coltsfootpath/platform"
+)
+
+// attemptState is what a request's attempts have come to.
+type attemptState struct {
+	random *rand.Rand
+	// tried are the servers that are not to be chosen again.
+	tried map[string]bool
+	// sends counts the servers that the request has reached, ran those that
+	// may have run it.
+	sends int
+	ran   int
+	// looks bounds the choices, those of servers that can't be reached too.
+	looks int
+	// failed is an answer of a server that is passed on if nothing better comes.
+	failed *wholeAnswer
+	// lastEvent is the last event passed on, -1 before the first.
+	lastEvent int64
+	// headSent is true once the caller has been sent the head of an answer.
+	headSent   bool
+	firstAfter time.Duration
+	lastServer string
+	trail      string
+}
+
+// wholeAnswer is a server's answer, read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// end is how an attempt ended.
+type end int
+
+const (
+	// endAnswered: the caller has its final answer.
+	endAnswered end = iota
+	// endNotSent: nothing reached the server.
+	endNotSent
+	// endNotRun: the server says that it has not run the request.
+	endNotRun
+	// endFailed: the server answered with a failure of its own.
+	endFailed
+	// endLost: the request may have run and no whole answer came.
+	endLost
+	// endSilent: this VM gave the attempt up for want of news.
+	endSilent
+	// endLeft: the caller has gone.
+	endLeft
+	// endLate: the request's time is over.
+	endLate
+)
+
+var endNames = [...]string{"answered", "not-sent", "not-run", "failed", "lost", "silent", "caller-left", "late"}
+
+func (e end) String() string { return endNames[e] }
+
+const (
+	// maxLooks bounds the servers that one request is tried on, those that
+	// can't be reached or refuse it among them.
+	maxLooks = 6
+	// maxRefusedSends is how many servers may refuse a request for want of room
+	// before it is refused itself.
+	maxRefusedSends = 2
+	// onceIdle is the longest that a kept connection may have been idle to carry
+	// a request that must not run twice.
+	onceIdle = 300 * time.Millisecond
+	// anyIdle is the same for other requests.
+	anyIdle = time.Minute
+	// minLeft is the time below which an attempt is not worth its start.
+	minLeft = 20 * time.Millisecond
+	// silenceFactor times the predicted time is when a repeatable request is
+	// sent elsewhere; silenceExtra is added for what predictions miss.
+	silenceFactor = 3
+	silenceExtra  = 250 * time.Millisecond
+	// pauseFactor times a route's longest pause is when a stream goes on
+	// elsewhere.
+	pauseFactor = 2
+	// answerLook bounds the answer tokens that a placement looks ahead.
+	answerLook = 384
+)
+
+// run sends the request to backend servers until it has its final answer.
+func (q *request) run() {
+	q.tried = map[string]bool{}
+	q.lastEvent = -1
+	defer q.settle()
+	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
+	defer cancel()
+	for {
+		if done := q.step(ctx); done {
+			return
+		}
+	}
+}
+
+// settle gives back the quota of a request that has not run.
+func (q *request) settle() {
+	if q.workspace != nil && q.ran == 0 {
+		q.node.quota.Refund(q.workspace.Name, q.cost)
+	}
+}
+
+// step makes one attempt, and tells whether the request is over.
+func (q *request) step(ctx context.Context) bool {
+	n := q.node
+	now := n.now()
+	if q.ctx.Err() != nil {
+		q.finish(endLeft, "caller-left")
+		return true
+	}
+	if q.deadline.Sub(now) < minLeft {
+		q.finish(endLate, "late")
+		return true
+	}
+	q.looks++
+	if q.looks > maxLooks {
+		q.finish(endNotSent, "no-server-took-it")
+		return true
+	}
+	p := n.backends.choose(q.want(), now, q.random)
+	if p == nil {
+		q.finish(endNotSent, "no-server")
+		return true
+	}
+	if q.sends > 0 && !n.retries.take(q.service) {
+		n.backends.release(p)
+		q.finish(endNotSent, "retry-budget")
+		return true
+	}
+	e := q.attempt(ctx, p)
+	n.metrics.attempts.WithLabelValues(q.service, e.String()).Inc()
+	q.trail += p.server.info.ID + ":" + e.String() + ","
+	return q.after(p, e)
+}
+
+// after decides what follows the end of an attempt.
+func (q *request) after(p *pick, e end) bool {
+	id := p.server.info.ID
+	q.tried[id] = true
+	switch e {
+	case endAnswered:
+		return true
+	case endLeft, endLate:
+		q.finish(e, e.String())
+		return true
+	case endNotSent:
+		return false
+	case endNotRun:
+		if q.sends > q.ran+maxRefusedSends {
+			q.finish(e, "servers-full")
+			return true
+		}
+		return false
+	}
+	if !q.mayRepeat() {
+		q.finish(e, e.String())
+		return true
+	}
+	return false
+}
+
+// mayRepeat tells whether a request that may have run may be sent once more.
+func (q *request) mayRepeat() bool {
+	return q.route.Repeats() && q.ran < q.route.MaxServers
+}
+
+func (q *request) want() *wanted {
+	w := &wanted{service: q.service, zone: q.node.set.AvailabilityZone, avoid: q.tried}
+	if !q.call.HasTokens {
+		return w
+	}
+	w.parts = q.call.Parts
+	w.request = placement.Request{Prompt: q.call.PromptTokens, Answer: min(q.answerTokens(), answerLook)}
+	if len(w.parts) > 1 {
+		shared := w.parts[:len(w.parts)-1]
+		w.request.Home = shared[len(shared)-1].ID
+		for _, part := range shared {
+			w.request.Shared += part.Tokens
+		}
+	}
+	return w
+}
+
+func (q *request) answerTokens() int {
+	if q.call.LikelyAnswerTokens > 0 {
+		return q.call.LikelyAnswerTokens
+	}
+	return q.call.MaxAnswerTokens
+}
+
+// attemptRun is one attempt under way.
+type attemptRun struct {
+	q      *request
+	pick   *pick
+	ctx    context.Context
+	cancel context.CancelFunc
+	began  time.Time
+	// silent is set once the attempt is given up for want of news.
+	silent atomic.Bool
+	timer  *time.Timer
+}
+
+// attempt sends the request to one server.
+func (q *request) attempt(ctx context.Context, p *pick) end {
+	n := q.node
+	defer n.backends.release(p)
+	a := &attemptRun{q: q, pick: p, began: n.now()}
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	defer a.cancel()
+	a.watch(q.firstBound(p))
+	defer a.unwatch()
+	answer, err := p.server.pool.Do(a.ctx, q.upstreamRequest(p, a.began))
+	if err != nil {
+		return a.failedToSend(err)
+	}
+	q.reached(p)
+	return a.receive(answer)
+}
+
+func (q *request) reached(p *pick) {
+	q.sends++
+	q.lastServer = p.server.info.ID
+	if q.sends == 1 {
+		q.node.retries.first(q.service)
+	}
+	if p.load.Memory > 0 {
+		q.node.work.add(q.service, placement.DefaultCost.Work(p.choice.Uncached, q.answerTokens()))
+	}
+}
+
+// watch gives the attempt up after a time without news, where the request may
+// be sent elsewhere.
+func (a *attemptRun) watch(bound time.Duration) {
+	if !a.q.mayRepeatAfterThis() {
+		return
+	}
+	a.timer = time.AfterFunc(bound, func() {
+		a.silent.Store(true)
+		a.cancel()
+	})
+}
+
+// mayRepeatAfterThis is mayRepeat with the attempt under way counted.
+func (q *request) mayRepeatAfterThis() bool {
+	return q.route.Repeats() && q.ran+1 < q.route.MaxServers
+}
+
+func (a *attemptRun) unwatch() {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+}
+
+// news restarts the watch.
+func (a *attemptRun) news(bound time.Duration) {
+	if a.timer != nil {
+		a.timer.Reset(bound)
+	}
+}
+
+func (q *request) firstBound(p *pick) time.Duration {
+	return max(q.route.LatencyTarget, silenceFactor*p.choice.First) + silenceExtra
+}
+
+func (q *request) pauseBound() time.Duration {
+	return max(pauseFactor*q.route.PauseTarget, silenceExtra)
+}
+
+func (q *request) upstreamRequest(p *pick, now time.Time) upstream.Request {
+	workspace := ""
+	if q.workspace != nil {
+		workspace = q.workspace.Name
+	}
+	forward := platform.Forward{
+		Server:    p.server.info.ID,
+		Workspace: workspace,
+		Left:      q.deadline.Sub(now),
+		Priority:  q.priority(),
+		LastEvent: q.lastEvent,
+	}
+	maxIdle := anyIdle
+	if !q.route.Repeats() {
+		maxIdle = onceIdle
+	}
+	return upstream.Request{
+		Method:  q.r.Method,
+		Head:    platform.AppendHead(make([]byte, 0, 1024), q.r.Method, q.r.RequestURI, q.r.Host, q.r.Header, forward, len(q.body)),
+		Body:    q.body,
+		MaxIdle: maxIdle,
+		IsOurs: func(status int, h http.Header) bool {
+			id := platform.DecodeAnswer(status, h).ID
+			return id == "" || id == q.call.ID
+		},
+	}
+}
+
+const (
+	// priorityStep separates the priorities of workspaces, within which those of
+	// routes count; lowestPriority is the least urgent one.
+	priorityStep   = 3
+	lowestPriority = 9
+)
+
+func (q *request) priority() int {
+	p := q.route.Priority
+	if q.workspace != nil && q.workspace.HasPriority {
+		p = q.workspace.Priority*priorityStep + min(p, priorityStep-1)
+	}
+	return min(max(p, 0), lowestPriority)
+}
+
+// failedToSend tells how an attempt ended that got no answer.
+func (a *attemptRun) failedToSend(err error) end {
+	q, n := a.q, a.q.node
+	if errors.Is(err, upstream.ErrNotSent) {
+		if !errors.Is(err, upstream.ErrFull) && a.ctx.Err() == nil {
+			n.health.Ended(a.pick.health, health.Outcome{Failed: true}, n.now())
+			n.log.Failure("attempt", "not-sent", "id", q.call.ID, "server", a.pick.server.info.ID, "error", err)
+		}
+		return a.endOf(endNotSent)
+	}
+	q.reached(a.pick)
+	q.ran++
+	return a.lost(err)
+}
+
+// lost notes an attempt that may have run and whose answer did not come whole.
+func (a *attemptRun) lost(err error) end {
+	n := a.q.node
+	e := a.endOf(endLost)
+	if e == endLost || e == endSilent {
+		n.health.Ended(a.pick.health, health.Outcome{Failed: true}, n.now())
+		n.log.Failure("attempt", e.String(), "id", a.q.call.ID, "server", a.pick.server.info.ID, "after", n.now().Sub(a.began), "events", a.q.lastEvent, "error", err)
+	}
+	return e
+}
+
+// endOf tells a caller's leaving, the end of the time and this VM's own giving
+// up from what else ended an attempt.
+func (a *attemptRun) endOf(otherwise end) end {
+	switch {
+	case a.q.ctx.Err() != nil:
+		return endLeft
+	case a.silent.Load():
+		return endSilent
+	case a.ctx.Err() != nil || a.q.deadline.Sub(a.q.node.now()) <= 0:
+		return endLate
+	}
+	return otherwise
+}
+
+// receive passes the server's answer on.
+func (a *attemptRun) receive(answer *upstream.Answer) end {
+	q, n := a.q, a.q.node
+	head := platform.DecodeAnswer(answer.Status, answer.Header)
+	if head.NotRun {
+		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes))
+		answer.Close(err == nil)
+		n.backends.refusedForRoom(a.pick, q.call.Parts, n.now())
+		n.log.Event("attempt", "not-run", "id", q.call.ID, "server", a.pick.server.info.ID, "status", answer.Status)
+		return endNotRun
+	}
+	q.ran++
+	if answer.Status/100 == 2 && q.route.Kind == site.Stream {
+		return a.receiveStream(answer, head.Sealed)
+	}
+	return a.receiveWhole(answer, head)
+}
+
+// receiveWhole reads an answer to its end before any of it is passed on.
+func (a *attemptRun) receiveWhole(answer *upstream.Answer, head platform.Answer) end {
+	q, n := a.q, a.q.node
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		answer.Close(false)
+		return a.lost(errors.Newf("answer broke off after %d bytes: %v", len(body), err))
+	}
+	answer.Close(true)
+	now := n.now()
+	q.countBegun(now)
+	if answer.Status/100 == 2 && !head.Sealed {
+		return a.lost(errors.Newf("success without a seal"))
+	}
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	failed := answer.Status >= http.StatusInternalServerError
+	n.health.Ended(a.pick.health, health.Outcome{Failed: failed, Ratio: ratio(now.Sub(a.began), a.pick.choice.First)}, now)
+	if failed {
+		q.failed = whole
+		if q.mayRepeat() && !q.headSent {
+			return endFailed
+		}
+	}
+	if q.headSent {
+		return endLost
+	}
+	q.pass(whole)
+	return endAnswered
+}
+
+// ratio is a time over the predicted one, 0 where there is no prediction.
+func ratio(took, predicted time.Duration) float64 {
+	if predicted <= 0 {
+		return 0
+	}
+	return float64(took) / float64(predicted)
+}
+
+// countBegun counts the request in its workspace's usage, in the window of the
+// present moment.
+func (q *request) countBegun(now time.Time) {
+	if q.workspace != nil {
+		q.node.usage.Began(q.node.duties.windowOf(now), q.workspace.Name)
+	}
+}
+
+// pass sends a server's whole answer to the caller.
+func (q *request) pass(a *wholeAnswer) {
+	n := q.node
+	q.firstAfter = n.now().Sub(q.began)
+	h := q.w.Header()
+	platform.CopyAnswerHeaders(h, a.header)
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	q.markClosing()
+	q.w.WriteHeader(a.status)
+	_, err := q.w.Write(a.body)
+	q.closeIfAsked()
+	outcome := "served"
+	if a.status >= http.StatusBadRequest {
+		outcome = "server-failed"
+	}
+	if err != nil {
+		outcome = "caller-left"
+	}
+	q.done(outcome, "", a.status)
+}
+
+// closeWait bounds the wait for a slow caller's last bytes.
+const closeWait = 2 * time.Second
+
+// closeIfAsked makes sure that an answer has left before the library closes a
+// connection whose caller asked for it or was told so.
+func (q *request) closeIfAsked() {
+	if q.node.draining.Load() {
+		q.r.Close = true
+	}
+	if q.r.Close {
+		if f, ok := q.w.(http.Flusher); ok {
+			f.Flush()
+		}
+		httpserver.AwaitWritten(q.w, closeWait)
+	}
+}
+
+func (q *request) done(outcome, reason string, status int) {
+	n := q.node
+	n.metrics.requests.WithLabelValues(q.routeName(), outcome).Inc()
+	n.metrics.whole.WithLabelValues(q.routeName()).Observe(n.now().Sub(q.began).Seconds())
+	if q.firstAfter > 0 {
+		n.metrics.first.WithLabelValues(q.routeName()).Observe(q.firstAfter.Seconds())
+	}
+	q.log(outcome, reason, status)
+}
+
+// finish gives the request its final answer where no server's answer is left to
+// pass on.
+func (q *request) finish(e end, reason string) {
+	switch {
+	case e == endLeft:
+		q.done("caller-left", reason, 0)
+		httpserver.Abort(q.w)
+	case q.headSent:
+		// The answer has begun and can't be made whole: it must not look so.
+		httpserver.Abort(q.w)
+		q.done("broken-off", reason, 0)
+	case q.failed != nil:
+		q.pass(q.failed)
+	case q.ran == 0:
+		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, after: retryNoServer})
+	case e == endLate:
+		q.refuse(refusal{status: http.StatusGatewayTimeout, reason: reason})
+	default:
+		q.refuse(refusal{status: http.StatusBadGateway, reason: reason})
+	}
+}
--- /dev/null
+++ b/internal/gateway/backends.go
@@ -0,0 +1,372 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
+	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
+	"coltsfootpath.example/coltsfootpath/internal/state/site"
+	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
+	"coltsfootpath.example/coltsfootpath/platform"
+)
+
+const (
+	// dialTimeout bounds a connection to a backend server, which takes a
+	// millisecond or two while the server is well.
+	dialTimeout = 400 * time.Millisecond
+	// idleWithoutHint is how long a connection is kept whose server does not
+	// say how long it keeps it: it states whole seconds alone.
+	idleWithoutHint = 600 * time.Millisecond
+	// cacheMemory is how long a prompt's part is taken to stay in an engine.
+	cacheMemory = 60 * time.Second
+	// maxCachedParts bounds the parts remembered of one engine.
+	maxCachedParts = 4096
+	// fullFor is how long a server that refused a request for want of room is
+	// chosen last.
+	fullFor = 150 * time.Millisecond
+	// loadAge is how long a peer's word on its load counts.
+	loadAge = 2 * time.Second
+	// goneUse is how long a server whose entry is gone may still be used where
+	// its service has no other: entries expire while the store is away.
+	goneUse = 1500 * time.Millisecond
+	// connectionShare of a server's connections is used by all entry VMs.
+	connectionShare = 0.85
+	// minConnections is what an entry VM may open to any server.
+	minConnections = 4
+)
+
+// backend is one backend server with this VM's work on it.
+type backend struct {
+	info   site.Server
+	hash   uint64
+	short  uint32
+	pool   *upstream.Pool
+	goneAt time.Time
+
+	// The fields below are guarded by the table's lock.
+	own       placement.Load
+	cached    map[uint64]time.Time
+	fullUntil time.Time
+	sent      int64
+}
+
+// backendTable holds all backend servers. Its lock is taken before the locks of
+// the health table and of pools, never after them.
+type backendTable struct {
+	mu        sync.Mutex
+	byID      map[string]*backend
+	byService map[string][]*backend
+	peerLoads map[string]peerLoad
+	health    *health.Table
+	members   func() int
+	maxConns  func(service string) int
+}
+
+type peerLoad struct {
+	at    time.Time
+	loads []digest.Load
+}
+
+func newBackendTable(h *health.Table) *backendTable {
+	return &backendTable{
+		byID:      map[string]*backend{},
+		byService: map[string][]*backend{},
+		peerLoads: map[string]peerLoad{},
+		health:    h,
+	}
+}
+
+func healthKey(s *site.Server) health.Key {
+	return health.Key{Server: s.ID, Model: s.Service}
+}
+
+// put takes a server's entry. It returns the entry before, if there was one.
+func (t *backendTable) put(s site.Server, now time.Time) (before site.Server, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, ok := t.byID[s.ID]
+	if ok && old.info.Address == s.Address && old.info.BornMillis == s.BornMillis && old.info.Service == s.Service {
+		before = old.info
+		old.info, old.goneAt = s, time.Time{}
+		return before, true
+	}
+	if ok {
+		before, known = old.info, true
+		old.pool.Close()
+	}
+	b := &backend{info: s, hash: xxhash.Sum64String(s.ID), cached: map[uint64]time.Time{}}
+	b.short = uint32(b.hash)
+	service := s.Service
+	b.pool = upstream.NewPool(s.Address, upstream.Config{
+		DialTimeout:     dialTimeout,
+		IdleWithoutHint: idleWithoutHint,
+		MaxConnections: func() int {
+			return max(int(connectionShare*float64(t.maxConns(service)))/t.members(), minConnections)
+		},
+	})
+	t.byID[s.ID] = b
+	t.health.Add(healthKey(&s), now)
+	t.index()
+	return before, known
+}
+
+// gone takes the end of a server's entry.
+func (t *backendTable) gone(id string, now time.Time) (site.Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.byID[id]
+	if !ok || !b.goneAt.IsZero() {
+		return site.Server{}, false
+	}
+	b.goneAt = now
+	return b.info, true
+}
+
+// sweep forgets servers that are long gone, and closes idle connections.
+func (t *backendTable) sweep(now time.Time) {
+	t.mu.Lock()
+	var pools []*upstream.Pool
+	changed := false
+	for id, b := range t.byID {
+		if !b.goneAt.IsZero() && now.Sub(b.goneAt) > goneUse {
+			delete(t.byID, id)
+			b.pool.Close()
+			changed = true
+			continue
+		}
+		pools = append(pools, b.pool)
+		for part, at := range b.cached {
+			if now.Sub(at) > cacheMemory {
+				delete(b.cached, part)
+			}
+		}
+	}
+	for vm, l := range t.peerLoads {
+		if now.Sub(l.at) > loadAge {
+			delete(t.peerLoads, vm)
+		}
+	}
+	if changed {
+		t.index()
+		t.health.Retain(func(id string) bool { return t.byID[id] != nil })
+	}
+	t.mu.Unlock()
+	for _, p := range pools {
+		p.Sweep(now)
+	}
+}
+
+func (t *backendTable) index() {
+	t.byService = map[string][]*backend{}
+	for _, b := range t.byID {
+		t.byService[b.info.Service] = append(t.byService[b.info.Service], b)
+	}
+}
+
+// hearLoads takes a peer's loads.
+func (t *backendTable) hearLoads(vm string, loads []digest.Load, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peerLoads[vm] = peerLoad{at: now, loads: loads}
+}
+
+// ownLoads returns this VM's loads for a digest.
+func (t *backendTable) ownLoads() []digest.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []digest.Load
+	for _, b := range t.byID {
+		if b.own.Running > 0 || b.own.Prefill > 0 {
+			out = append(out, digest.Load{
+				Server: b.short, Prefill: uint64(max(b.own.Prefill, 0)), Running: uint64(max(b.own.Running, 0)), Memory: uint64(max(b.own.Memory, 0)),
+			})
+		}
+	}
+	return out
+}
+
+// snapshot returns the entries of a service's servers.
+func (t *backendTable) snapshot(service string) []site.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []site.Server
+	for _, b := range t.byService[service] {
+		if b.goneAt.IsZero() {
+			out = append(out, b.info)
+		}
+	}
+	return out
+}
+
+func (t *backendTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID)
+}
+
+// pick is a server chosen for an attempt, with the load that it was given.
+type pick struct {
+	server   *backend
+	choice   placement.Choice
+	load     placement.Load
+	prefill  bool
+	health   health.Key
+	released bool
+}
+
+// wanted is what an attempt asks of the table.
+type wanted struct {
+	service string
+	request placement.Request
+	parts   []platform.Part
+	zone    string
+	avoid   map[string]bool
+	allowed func(s *site.Server) bool
+}
+
+// choose picks a server and counts the attempt on it, nil where there is none.
+func (t *backendTable) choose(w *wanted, now time.Time, random *rand.Rand) *pick {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	servers := t.usable(w, now)
+	if len(servers) == 0 {
+		return nil
+	}
+	list := make([]placement.Candidate, len(servers))
+	sums := t.peerSums(now)
+	for i, b := range servers {
+		list[i] = t.candidate(b, w, sums[b.short], now)
+	}
+	choice := placement.Choose(placement.DefaultCost, w.request, list, random)
+	if choice.Index < 0 {
+		return nil
+	}
+	return t.begin(servers[choice.Index], choice, w, now)
+}
+
+// usable returns the servers that may take the attempt. Servers that refused
+// lately are left out while there are others.
+func (t *backendTable) usable(w *wanted, now time.Time) []*backend {
+	var open, full, fading []*backend
+	for _, b := range t.byService[w.service] {
+		switch {
+		case w.avoid[b.info.ID] || b.info.Leaving || w.allowed != nil && !w.allowed(&b.info):
+		case !b.goneAt.IsZero():
+			if now.Sub(b.goneAt) < goneUse {
+				fading = append(fading, b)
+			}
+		case now.Before(b.fullUntil):
+			full = append(full, b)
+		default:
+			open = append(open, b)
+		}
+	}
+	switch {
+	case len(open) > 0:
+		return open
+	case len(full) > 0:
+		return full
+	}
+	return fading
+}
+
+func (t *backendTable) peerSums(now time.Time) map[uint32]placement.Load {
+	sums := map[uint32]placement.Load{}
+	for _, p := range t.peerLoads {
+		if now.Sub(p.at) > loadAge {
+			continue
+		}
+		for _, l := range p.loads {
+			s := sums[l.Server]
+			s.Add(placement.Load{Prefill: float64(l.Prefill), Running: float64(l.Running), Memory: float64(l.Memory)})
+			sums[l.Server] = s
+		}
+	}
+	return sums
+}
+
+func (t *backendTable) candidate(b *backend, w *wanted, peers placement.Load, now time.Time) placement.Candidate {
+	load := b.own
+	load.Add(peers)
+	c := placement.Candidate{
+		Hash:   b.hash,
+		Load:   load,
+		Slots:  b.info.Slots,
+		Slow:   t.health.Slowdown(healthKey(&b.info), now),
+		Weight: t.health.Weight(healthKey(&b.info), now),
+		Near:   b.info.AvailabilityZone == w.zone,
+	}
+	for _, p := range w.parts {
+		at, ok := b.cached[p.ID]
+		if !ok || now.Sub(at) > cacheMemory {
+			break
+		}
+		c.Cached += float64(p.Tokens)
+	}
+	return c
+}
+
+func (t *backendTable) begin(b *backend, choice placement.Choice, w *wanted, now time.Time) *pick {
+	p := &pick{
+		server:  b,
+		choice:  choice,
+		prefill: w.request.Prompt > 0,
+		health:  healthKey(&b.info),
+		load:    placement.Load{Prefill: choice.Uncached, Running: 1, Memory: float64(w.request.Prompt + w.request.Answer)},
+	}
+	if !p.prefill {
+		p.load = placement.Load{Running: 1}
+	}
+	b.own.Add(p.load)
+	b.sent++
+	for _, part := range w.parts {
+		if len(b.cached) >= maxCachedParts {
+			break
+		}
+		b.cached[part.ID] = now
+	}
+	return p
+}
+
+// began takes the prompt off the server's queue: its first token has come.
+func (t *backendTable) began(p *pick) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p.prefill {
+		p.prefill = false
+		p.server.own.Prefill -= p.load.Prefill
+		p.load.Prefill = 0
+	}
+}
+
+// release takes the attempt off the server.
+func (t *backendTable) release(p *pick) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p.released {
+		return
+	}
+	p.released = true
+	p.server.own.Add(placement.Load{Prefill: -p.load.Prefill, Running: -p.load.Running, Memory: -p.load.Memory})
+}
+
+// refusedForRoom notes that a server had no room, and that its prompt was not
+// read.
+func (t *backendTable) refusedForRoom(p *pick, parts []platform.Part, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.server.fullUntil = now.Add(fullFor)
+	t.forget(p.server, parts)
+}
+
+// forget drops the last part of a prompt that was not read.
+func (t *backendTable) forget(b *backend, parts []platform.Part) {
+	if len(parts) > 0 {
+		delete(b.cached, parts[len(parts)-1].ID)
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+type metrics struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	first      *prometheus.HistogramVec
+	whole      *prometheus.HistogramVec
+	attempts   *prometheus.CounterVec
+	platform   *prometheus.CounterVec
+	unreadable *prometheus.CounterVec
+	verdicts   *prometheus.CounterVec
+	duties     *prometheus.CounterVec
+	open       prometheus.Gauge
+	document   prometheus.Gauge
+	servers    prometheus.Gauge
+	members    prometheus.Gauge
+	dropped    *prometheus.GaugeVec
+}
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 15}
+
+func newMetrics() *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "coltsfoot_gateway_" + name, Help: help}, labels)
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Name: "coltsfoot_gateway_" + name, Help: help})
+	}
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "coltsfoot_gateway_" + name, Help: help, Buckets: latencyBuckets}, []string{"route"})
+	}
+	m := &metrics{
+		registry:   prometheus.NewRegistry(),
+		requests:   counter("requests_total", "Requests by route and outcome.", "route", "outcome"),
+		first:      histogram("first_answer_seconds", "Time to the first byte of an answer."),
+		whole:      histogram("answer_seconds", "Time to the end of an answer."),
+		attempts:   counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
+		platform:   counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
+		unreadable: counter("unreadable_total", "Records of the platform's store that can't be read, by topic.", "topic"),
+		verdicts:   counter("verdicts_total", "Changes of health verdicts by service and phase.", "service", "phase"),
+		duties:     counter("duties_total", "Duties done by duty and outcome.", "duty", "outcome"),
+		open:       gauge("open_requests", "Requests that are being answered."),
+		document:   gauge("document_version", "Version of the document in force."),
+		servers:    gauge("backend_servers", "Backend servers known."),
+		members:    gauge("members", "Other entry VMs heard of lately."),
+		dropped: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines not written for want of room, by importance.",
+		}, []string{"importance"}),
+	}
+	m.registry.MustRegister(m.requests, m.first, m.whole, m.attempts, m.platform, m.unreadable, m.verdicts, m.duties,
+		m.open, m.document, m.servers, m.members, m.dropped, collectors.NewGoCollector())
+	return m
+}
--- /dev/null
+++ b/internal/gateway/node.go
@@ -0,0 +1,318 @@
+// Package gateway is the entry VM of an operator's platform: it follows the
+// platform's store, answers which addresses to use, routes requests to backend
+// servers, and takes its part in the deployment's single duties. Decisions are
+// made in the packages below internal/coordination; the platform's names stay
+// in package platform.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/quota"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/retry"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
+	"coltsfootpath.example/coltsfootpath/internal/eventlog"
+	monitor "coltsfootpath.example/coltsfootpath/internal/metrics"
+	"coltsfootpath.example/coltsfootpath/internal/state/site"
+	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
+	"coltsfootpath.example/coltsfootpath/platform"
+)
+
+// healthConfig judges servers by what this VM sees of them. A server that
+// failed is tried again soon: engines come back within seconds.
+var healthConfig = health.Config{
+	FailuresInRow:  3,
+	FailureRatio:   0.5,
+	SlowFactor:     3,
+	MinSamples:     6,
+	MaxEjected:     0.4,
+	EjectFor:       time.Second,
+	EjectMax:       8 * time.Second,
+	TrialShare:     0.1,
+	TrialSuccesses: 2,
+	Ramp:           500 * time.Millisecond,
+	Memory:         10 * time.Second,
+}
+
+const (
+	// quotaExtraShare of the slack that the platform allows beyond a quota is
+	// given to workspaces; the rest is for what VMs see late of each other.
+	quotaExtraShare = 0.5
+	// retryShare of the platform's bound on retries is used; the rest is for
+	// VMs that start again with fresh budgets.
+	retryShare = 0.75
+	// sweepInterval is how often tables are cleared of what is old.
+	sweepInterval = 500 * time.Millisecond
+	// maxAnswerBytes bounds an answer that is read whole.
+	maxAnswerBytes = 8 << 20
+	// bodyBound is the bound on bodies before a document is known.
+	bodyBound = 4 << 20
+	// workers bounds the requests that are handled at once.
+	workers = 4096
+)
+
+// Node is one entry VM.
+type Node struct {
+	set         Settings
+	incarnation uint64
+	log         *eventlog.Logger
+	metrics     *metrics
+	platform    *platform.Client
+
+	document atomic.Pointer[site.Document]
+	backends *backendTable
+	health   *health.Table
+	quota    *quota.Shared
+	retries  *retryBudgets
+	usage    *usage.Table
+	members  *members
+	duties   *duties
+	contact  *contact
+	clock    *wallClock
+	work     *workMeter
+
+	open      atomic.Int64
+	draining  atomic.Bool
+	callers   *httpserver.Server
+	ready     *httpserver.Server
+	directory *httpserver.Server
+	monitor   *httpserver.Server
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+// Start brings up an entry VM and returns when it listens.
+func Start(set Settings) (*Node, error) {
+	n := newNode(set)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.listen(); err != nil {
+		n.Close()
+		return nil, err
+	}
+	n.startLoops()
+	n.log.Event("gateway", "started", "vm", set.VM, "zone", set.AvailabilityZone, "incarnation", n.incarnation, "callers", set.Callers, "peers", set.Peers, "store", set.Store)
+	return n, nil
+}
+
+func newNode(set Settings) *Node {
+	n := &Node{
+		set:         set,
+		incarnation: max(uint64(time.Now().UnixMilli()), 1),
+		log:         eventlog.New(os.Stdout),
+		metrics:     newMetrics(),
+		contact:     newContact(),
+		clock:       newWallClock(),
+		work:        newWorkMeter(),
+	}
+	n.platform = platform.NewClient(set.Store, set.Cloud, n.noteCall)
+	n.health = health.New(healthConfig, n.now())
+	n.health.OnChange(func(k health.Key, phase string) {
+		n.log.Event("health", "verdict", "server", k.Server, "service", k.Model, "phase", phase)
+		n.metrics.verdicts.WithLabelValues(k.Model, phase).Inc()
+	})
+	n.backends = newBackendTable(n.health)
+	n.quota = quota.New(quotaExtraShare * float64(set.QuotaSlack))
+	n.usage = usage.NewTable(usage.Source{VM: set.VM, Incarnation: n.incarnation})
+	n.members = newMembers(n)
+	n.duties = newDuties(n)
+	n.retries = newRetryBudgets(retry.Config{
+		Ratio:   set.RetryRatio * retryShare,
+		Reserve: float64(set.RetrySlack) * retryShare,
+	}, n.members.count)
+	n.backends.members = n.members.count
+	n.backends.maxConns = n.maxConnections
+	return n
+}
+
+func (n *Node) now() time.Time { return time.Now() }
+
+func (n *Node) maxConnections(service string) int {
+	if d := n.document.Load(); d != nil {
+		if s, ok := d.Services[service]; ok && s.MaxConnections > 0 {
+			return s.MaxConnections
+		}
+	}
+	return 100
+}
+
+func (n *Node) listen() error {
+	var err error
+	if err = n.members.listen(); err != nil {
+		return err
+	}
+	if n.monitor, err = monitor.Serve(n.set.Metrics, n.metrics.registry, n.Ready); err != nil {
+		return err
+	}
+	if n.ready, err = httpserver.Start(httpserver.Config{Name: "ready", Address: n.set.Ready, Handler: n.readyHandler()}); err != nil {
+		return err
+	}
+	if n.directory, err = httpserver.Start(httpserver.Config{Name: "directory", Address: n.set.Directory, Handler: n.directoryHandler()}); err != nil {
+		return err
+	}
+	n.callers, err = httpserver.Start(httpserver.Config{
+		Name: "callers", Address: n.set.Callers, Handler: n.ingressHandler(),
+		MaxBodyBytes: bodyBound, Workers: workers,
+	})
+	return err
+}
+
+func (n *Node) startLoops() {
+	operator := &follower{node: n, topic: platform.OperatorTopic, apply: n.applyOperator}
+	servers := &follower{node: n, topic: platform.ServersTopic, pause: serversPause, apply: n.applyServer}
+	n.loops.Go(func() { operator.run(n.ctx) })
+	n.loops.Go(func() { servers.run(n.ctx) })
+	n.loops.Go(func() { n.members.run(n.ctx) })
+	n.loops.Go(func() { n.duties.run(n.ctx) })
+	n.loops.Go(func() { n.sweep(n.ctx) })
+}
+
+// serversPause gathers the entries of servers that change one after another;
+// the platform allows seconds for a leaving server.
+const serversPause = 100 * time.Millisecond
+
+func (n *Node) noteCall(call string, err error) {
+	outcome := "done"
+	switch {
+	case err == nil:
+	case errors.Is(err, platform.ErrUnknown):
+		outcome = "unknown"
+	default:
+		outcome = "refused"
+	}
+	n.metrics.platform.WithLabelValues(call, outcome).Inc()
+}
+
+// applyOperator takes a record that the operator wrote.
+func (n *Node) applyOperator(key string, value []byte, offset uint64) {
+	switch {
+	case key == platform.DocumentKey && value != nil:
+		n.applyDocument(value, offset)
+	case strings.HasPrefix(key, platform.MoveKeyPrefix):
+		n.log.Event("moves", "order", "key", key, "offset", offset)
+	}
+}
+
+func (n *Node) applyDocument(value []byte, offset uint64) {
+	d, err := platform.DecodeDocument(value)
+	if err != nil {
+		n.log.Failure("document", "unreadable", "offset", offset, "error", err)
+		n.metrics.unreadable.WithLabelValues(platform.OperatorTopic).Inc()
+		return
+	}
+	if old := n.document.Load(); old != nil && old.Version >= d.Version {
+		return
+	}
+	limits := map[string]quota.Limit{}
+	for _, w := range d.Workspaces {
+		limits[w.Name] = quota.Limit{PerSecond: w.PerSecond, Burst: w.Burst}
+	}
+	n.quota.Configure(limits, n.now())
+	n.document.Store(d)
+	n.metrics.document.Set(float64(d.Version))
+	n.log.Event("document", "in-force", "version", d.Version, "offset", offset, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
+}
+
+// applyServer takes what a backend server says of itself.
+func (n *Node) applyServer(id string, value []byte, offset uint64) {
+	now := n.now()
+	if value == nil {
+		if s, ok := n.backends.gone(id, now); ok {
+			n.log.Event("servers", "gone", "server", id, "service", s.Service, "zone", s.AvailabilityZone, "offset", offset)
+		}
+		return
+	}
+	s, err := platform.DecodeServer(id, value)
+	if err != nil {
+		n.log.Failure("servers", "unreadable", "server", id, "offset", offset, "error", err)
+		n.metrics.unreadable.WithLabelValues(platform.ServersTopic).Inc()
+		return
+	}
+	before, known := n.backends.put(s, now)
+	if !known || before.Leaving != s.Leaving || before.Address != s.Address || before.BornMillis != s.BornMillis {
+		n.log.Event("servers", "entry", "server", id, "service", s.Service, "zone", s.AvailabilityZone, "address", s.Address,
+			"leaving", s.Leaving, "reclaimable", s.Reclaimable, "version", s.SoftwareVersion, "offset", offset)
+	}
+	n.metrics.servers.Set(float64(n.backends.count()))
+}
+
+// Ready tells whether the VM can serve: it has a document and is not leaving.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.document.Load() != nil && n.backends.count() > 0
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		n.backends.sweep(n.now())
+		ordinary, failures := n.log.Dropped()
+		n.metrics.dropped.WithLabelValues("ordinary").Set(float64(ordinary))
+		n.metrics.dropped.WithLabelValues("failure").Set(float64(failures))
+	}
+}
+
+const (
+	// drainServe is how long a VM that leaves serves new requests: callers keep
+	// its address for a while.
+	drainServe = 2500 * time.Millisecond
+	// drainMargin of the grace is left for closing down.
+	drainMargin = 700 * time.Millisecond
+	drainPoll   = 20 * time.Millisecond
+)
+
+// Drain ends the VM gracefully: it takes itself out of the directory, gives up
+// the duties, serves on while callers keep its address, and lets open requests
+// end.
+func (n *Node) Drain(ctx context.Context) error {
+	began := n.now()
+	n.draining.Store(true)
+	n.log.Event("gateway", "draining", "vm", n.set.VM, "open", n.open.Load())
+	n.members.announce()
+	n.duties.release()
+	end := began.Add(n.set.Grace - drainMargin)
+	for now := n.now(); now.Before(end) && ctx.Err() == nil; now = n.now() {
+		if now.Sub(began) >= min(drainServe, n.set.Grace/2) && n.open.Load() == 0 {
+			break
+		}
+		sleep(ctx, drainPoll)
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	n.log.Event("gateway", "stopped", "vm", n.set.VM, "open", n.open.Load(), "after", n.now().Sub(began))
+	err := n.callers.Shutdown(ctx)
+	n.Close()
+	return err
+}
+
+// Close ends the VM at once.
+func (n *Node) Close() {
+	n.cancel()
+	for _, s := range []*httpserver.Server{n.callers, n.ready, n.directory, n.monitor} {
+		if s != nil {
+			s.Close()
+		}
+	}
+	n.members.close()
+	n.loops.Wait()
+	n.log.Close()
+}
+
+// Reload takes in settings that changed. What a running VM can't change is left
+// as it is and told of.
+func (n *Node) Reload(set Settings) {
+	n.log.Event("gateway", "reloaded", "vm", set.VM, "store", set.Store, "same", set == n.set)
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/internal/gateway/orders.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/fleetplan"
+	"coltsfootpath.example/coltsfootpath/internal/state/site"
+	"coltsfootpath.example/coltsfootpath/platform"
+)
+
+const (
+	// orderInterval is how often the number of servers is looked at.
+	orderInterval = 400 * time.Millisecond
+	// orderAgain is when an order is repeated whose effect does not show: orders
+	// may be lost, or be carried out late and out of turn.
+	orderAgain = 3 * time.Second
+	// refusedPause is how long a kind of server that was not to be had is not
+	// asked for again.
+	refusedPause = 2 * time.Second
+	// settleTime is how long the number of servers has to stay the same before it
+	// is taken as what the operator began with.
+	settleTime = 2 * time.Second
+	// priceUnit turns relative prices into the plan's whole numbers.
+	priceUnit = 1000
+)
+
+// orderer orders backend servers while this VM holds the duties.
+type orderer struct {
+	node     *Node
+	services map[string]*serviceOrders
+	lookedAt time.Time
+	fence    uint64
+}
+
+// serviceOrders is what has been ordered of one service.
+type serviceOrders struct {
+	counter *fleetplan.Counter
+	ordered map[fleetplan.Slot]order
+	// count is the number of servers seen last, since when it has not changed.
+	count int
+	since time.Time
+}
+
+type order struct {
+	count int
+	at    time.Time
+}
+
+func newOrderer(n *Node) *orderer {
+	return &orderer{node: n, services: map[string]*serviceOrders{}}
+}
+
+// settle returns the sizes of the services as first found, once these have not
+// changed for a while: servers register one by one.
+func (o *orderer) settle(known map[string]int, now time.Time) map[string]int {
+	out := map[string]int{}
+	added := false
+	for name, size := range known {
+		out[name] = size
+	}
+	for name, so := range o.services {
+		if out[name] == 0 && so.count > 0 && now.Sub(so.since) >= settleTime {
+			out[name] = so.count
+			added = true
+		}
+	}
+	if !added {
+		return nil
+	}
+	return out
+}
+
+func (o *orderer) step(ctx context.Context, h platform.Holder) {
+	now := o.node.now()
+	if now.Sub(o.lookedAt) < orderInterval {
+		return
+	}
+	o.lookedAt = now
+	if o.fence != h.Fence {
+		o.fence = h.Fence
+		o.services = map[string]*serviceOrders{}
+	}
+	doc := o.node.document.Load()
+	for name, s := range doc.Services {
+		if s.Scaling != nil {
+			o.stepService(ctx, h, name, s)
+		}
+	}
+}
+
+func (o *orderer) stepService(ctx context.Context, h platform.Holder, name string, s *site.Service) {
+	now := o.node.now()
+	so, ok := o.services[name]
+	if !ok {
+		so = &serviceOrders{counter: fleetplan.NewCounter(refusedPause), ordered: map[fleetplan.Slot]order{}}
+		o.services[name] = so
+	}
+	have := o.present(name)
+	if count := have.Total(); count != so.count {
+		so.count, so.since = count, now
+	}
+	demand, ok := o.demand(name, s)
+	if !ok {
+		return
+	}
+	bounds := fleetplan.Bounds{MinPerZone: s.Scaling.Min, MaxPerZone: s.Scaling.Max}
+	for slot, want := range so.counter.Step(demand, bounds, offersOf(s.Scaling), have, now) {
+		o.send(ctx, h, name, so, slot, want, have[slot])
+	}
+}
+
+// present counts the servers of a service that stay.
+func (o *orderer) present(service string) fleetplan.Counts {
+	out := fleetplan.Counts{}
+	for _, s := range o.node.backends.snapshot(service) {
+		if !s.Leaving {
+			out[slotOf(s)]++
+		}
+	}
+	return out
+}
+
+func slotOf(s site.Server) fleetplan.Slot {
+	return fleetplan.Slot{AvailabilityZone: s.AvailabilityZone, Reclaimable: s.Reclaimable}
+}
+
+func offersOf(sc *site.Scaling) []fleetplan.Offer {
+	var out []fleetplan.Offer
+	for zone, price := range sc.ZonePrices {
+		out = append(out,
+			fleetplan.Offer{Slot: fleetplan.Slot{AvailabilityZone: zone}, MicrosPerHour: int64(price * priceUnit), Capacity: 1},
+			fleetplan.Offer{Slot: fleetplan.Slot{AvailabilityZone: zone, Reclaimable: true}, MicrosPerHour: int64(price * sc.ReclaimablePrice * priceUnit), Capacity: 1})
+	}
+	return out
+}
+
+// demand is the number of servers that have to be left with any one
+// availability zone gone, once it is known how many there were at first.
+func (o *orderer) demand(name string, s *site.Service) (fleetplan.Demand, bool) {
+	d := o.node.duties
+	d.mu.Lock()
+	found := d.machine.State().Sizes[name]
+	d.mu.Unlock()
+	return fleetplan.Demand{
+		RequestsPerSecond: float64(found),
+		MaxVMs:            s.Scaling.Max * len(s.Scaling.ZonePrices),
+	}, found > 0
+}
+
+// send orders a number of servers where it differs from what was ordered last,
+// or where that does not show.
+func (o *orderer) send(ctx context.Context, h platform.Holder, service string, so *serviceOrders, slot fleetplan.Slot, want, have int) {
+	n := o.node
+	now := n.now()
+	last, ordered := so.ordered[slot]
+	if ordered && last.count == want && (have == want || now.Sub(last.at) < orderAgain) {
+		return
+	}
+	if !ordered && have == want {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, dutyTimeout)
+	defer cancel()
+	err := n.platform.OrderServers(callCtx, h, platform.Order{
+		Service: service, AvailabilityZone: slot.AvailabilityZone, Reclaimable: slot.Reclaimable, Count: want,
+	})
+	n.metrics.duties.WithLabelValues("order", outcomeOf(err)).Inc()
+	n.log.Event("duties", "order", "service", service, "zone", slot.AvailabilityZone, "reclaimable", slot.Reclaimable,
+		"count", want, "have", have, "fence", h.Fence, "error", err)
+	switch {
+	case err == nil:
+		so.counter.Accepted(slot)
+		so.ordered[slot] = order{count: want, at: now}
+	case errors.Is(err, platform.ErrUnknown):
+		so.ordered[slot] = order{count: want, at: now}
+	case platform.Conflicted(err):
+		// None are to be had now, or another VM holds the duties: the next report
+		// of usage tells which.
+		so.ordered[slot] = order{count: have, at: now}
+		so.counter.Refused(slot, now)
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"time"
+
+	"coltsfootpath.example/coltsfootpath/internal/settings"
+)
+
+// Settings of one entry VM on an operator's platform.
+type Settings struct {
+	VM               string
+	AvailabilityZone string
+	Region           string
+
+	Callers   string
+	Ready     string
+	Directory string
+	Peers     string
+	Metrics   string
+	// Seeds are peer addresses of a few other VMs, which may be down.
+	Seeds string
+
+	Store string
+	Cloud string
+
+	MemoryMB int
+	Grace    time.Duration
+
+	RequireFence bool
+	Lease        time.Duration
+	UsageWindow  time.Duration
+
+	// RetryRatio and RetrySlack bound the requests that are sent once more,
+	// by all VMs together, in RetryWindow.
+	RetryRatio  float64
+	RetrySlack  int
+	RetryWindow time.Duration
+	// QuotaSlack is what a workspace may get beyond its quota.
+	QuotaSlack int
+	// DocumentBound is how soon a document has to be in force.
+	DocumentBound time.Duration
+	// AddressKeep is the longest that callers keep an answer.
+	AddressKeep time.Duration
+}
+
+// Schema returns the settings' schema, bound to s.
+func (s *Settings) Schema() *settings.Schema {
+	schema := settings.NewSchema("coltsfoot-gateway")
+	schema.RequiredName("vm", "name", &s.VM, "name of this VM")
+	schema.RequiredName("vm", "availability_zone", &s.AvailabilityZone, "availability zone of this VM")
+	schema.RequiredName("vm", "region", &s.Region, "region of this VM")
+	schema.Int("vm", "memory_mb", &s.MemoryMB, 256, 64, 1<<20, "MB", "memory that the process may use")
+	schema.Duration("vm", "grace", &s.Grace, 8*time.Second, time.Second, time.Hour, "time from SIGTERM to the kill")
+	schema.RequiredAddress("listen", "callers", &s.Callers, "where callers connect")
+	schema.RequiredAddress("listen", "ready", &s.Ready, "where readiness is asked for")
+	schema.RequiredAddress("listen", "directory", &s.Directory, "where callers ask for addresses")
+	schema.RequiredAddress("listen", "peers", &s.Peers, "UDP address for other entry VMs")
+	schema.RequiredAddress("listen", "metrics", &s.Metrics, "address of the metrics")
+	schema.OptionalText("listen", "seeds", &s.Seeds, "addresses of a few other entry VMs, joined by commas; the port is that of listen.peers")
+	schema.RequiredAddress("platform", "store", &s.Store, "address of the platform's store")
+	schema.RequiredAddress("platform", "cloud", &s.Cloud, "address for orders and usage reports")
+	schema.Bool("duties", "require_fence", &s.RequireFence, true, "the platform refuses orders with an old fence")
+	schema.Duration("duties", "lease", &s.Lease, 3*time.Second, 100*time.Millisecond, time.Hour, "lease of the single duties")
+	schema.Duration("duties", "usage_window", &s.UsageWindow, 5*time.Second, time.Second, time.Hour, "length of a window of usage")
+	schema.Ratio("retries", "ratio", &s.RetryRatio, 0.2, 0, 1, "retries for each request")
+	schema.Int("retries", "slack", &s.RetrySlack, 50, 0, 1<<20, "requests", "retries without requests, in a window, by all VMs")
+	schema.Duration("retries", "window", &s.RetryWindow, 10*time.Second, time.Second, time.Hour, "window of the retries' bound")
+	schema.Int("quota", "slack", &s.QuotaSlack, 0, 0, 1<<30, "tokens or requests", "what a workspace may get beyond its quota in a window")
+	schema.Duration("document", "bound", &s.DocumentBound, 2*time.Second, 100*time.Millisecond, time.Hour, "time until a document is in force")
+	schema.Duration("document", "address_keep", &s.AddressKeep, 5*time.Second, time.Second, time.Hour, "longest time that callers keep addresses")
+	return schema
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,42 @@
 	}})
 }
 
+// OptionalText adds a text that may be absent.
+func (s *Schema) OptionalText(section, key string, target *string, help string) {
+	s.add(Field{Section: section, Key: key, Bounds: "any text", Help: help, set: func(v string) error {
+		*target = v
+		return nil
+	}})
+}
+
+// Ratio adds a number between low and high.
+func (s *Schema) Ratio(section, key string, target *float64, def, low, high float64, help string) {
+	*target = def
+	s.add(Field{Section: section, Key: key, Default: strconv.FormatFloat(def, 'g', -1, 64), Unit: "share", Bounds: fmt.Sprintf("%g to %g", low, high), Help: help, set: func(v string) error {
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			return fmt.Errorf("%q is no number", v)
+		}
+		if x < low || x > high {
+			return fmt.Errorf("%g is not between %g and %g", x, low, high)
+		}
+		*target = x
+		return nil
+	}})
+}
+
+// Bool adds true or false.
+func (s *Schema) Bool(section, key string, target *bool, def bool, help string) {
+	*target = def
+	s.add(Field{Section: section, Key: key, Default: strconv.FormatBool(def), Bounds: "true or false", Help: help, set: func(v string) error {
+		if v != "true" && v != "false" {
+			return fmt.Errorf("%q is neither true nor false", v)
+		}
+		*target = v == "true"
+		return nil
+	}})
+}
+
 // RequiredSecret adds a required text that is never shown.
 func (s *Schema) RequiredSecret(section, key string, target *string, minBytes int, help string) {
 	bounds := fmt.Sprintf("at least %d bytes", minBytes)
--- a/internal/transport/httpserver/conns.go
+++ b/internal/transport/httpserver/conns.go
@@ -113,3 +113,31 @@
 	}
 	return left.Int()
 }
+
+// Abort closes the connection of a response at once, so that an answer which
+// has begun does not look whole.
+func Abort(w http.ResponseWriter) {
+	if conn := connOf(w); conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// CloseAfterAnswer makes the server close the connection once the answer has
+// been written.
+func CloseAfterAnswer(_ http.ResponseWriter, r *http.Request) { r.Close = true }
+
+// AwaitWritten waits until the bytes of an answer have left this process, or
+// until the connection has closed or the time is over. The library closes a
+// connection that its caller wants closed without looking at what it still
+// holds.
+func AwaitWritten(w http.ResponseWriter, most time.Duration) {
+	conn := connOf(w)
+	if conn == nil {
+		return
+	}
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(idlePoll) {
+		if isClosed(conn) || unwritten(conn) == 0 {
+			return
+		}
+	}
+}
