--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -127,15 +127,15 @@
 	return m.held, m.held != 0 && now.Sub(m.renewedAt) < m.cfg.Lease-m.cfg.Margin
 }
 
-// HeardOf takes a peer's word that a VM holds the duties under a fence. The
-// holder's own word is news; others' tells of a higher fence alone.
-func (m *Machine) HeardOf(fence uint64, byHolder bool, now time.Time) {
+// HeardOf takes word of the highest fence known, and of when its holder last
+// said that it holds the duties.
+func (m *Machine) HeardOf(fence uint64, at, now time.Time) {
 	if m.held != 0 && fence > m.held {
 		m.held = 0
 		m.heardAt = now
 	}
-	if byHolder && fence >= m.state.Fence {
-		m.heardAt, m.silentFrom = now, time.Time{}
+	if m.held == 0 && fence >= m.state.Fence && at.After(m.heardAt) {
+		m.heardAt, m.silentFrom = at, time.Time{}
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/gossip/core.go
@@ -0,0 +1,408 @@
+package gossip
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// Config bounds the traffic.
+type Config struct {
+	// MeshLimit is the largest number of VMs that form a mesh.
+	MeshLimit int
+	// Hubs is the number of hubs of a zone, Readers the number of VMs of a mesh
+	// that read the store.
+	Hubs    int
+	Readers int
+	// Fresh is how long a VM that tells nothing is taken to be there.
+	Fresh time.Duration
+	// Counts is how long a silent VM is counted among those that share limits.
+	Counts time.Duration
+	// Retry is how often a silent VM is told something all the same.
+	Retry time.Duration
+	// MembersEvery is the number of digests between two that list members.
+	MembersEvery uint64
+}
+
+// DefaultConfig holds the bounds used where nothing else is set.
+var DefaultConfig = Config{
+	MeshLimit:    16,
+	Hubs:         2,
+	Readers:      3,
+	Fresh:        1200 * time.Millisecond,
+	Counts:       8 * time.Second,
+	Retry:        2 * time.Second,
+	MembersEvery: 5,
+}
+
+// peer is what this VM knows of another one.
+type peer struct {
+	Member
+	// addedAt is when the VM was first heard of, heardAt when it last told
+	// something, relayedAt when a hub last listed it.
+	addedAt   time.Time
+	heardAt   time.Time
+	relayedAt time.Time
+	// askedAt is when this VM began to tell a silent one, triedAt when it last
+	// did.
+	askedAt time.Time
+	triedAt time.Time
+
+	sequence    map[Kind]uint64
+	incarnation uint64
+	own         *Digest
+	ownAt       time.Time
+	zone        *Digest
+	zoneAt      time.Time
+	reads       bool
+	document    uint64
+	servers     uint64
+
+	// quotas and work are this VM's sums of what the peer has told since this VM
+	// first heard of it, over all of the peer's lives.
+	quotas, work sums
+}
+
+// sums turns totals that start anew with each life into one that only grows.
+type sums struct {
+	last map[uint32]uint64
+	all  map[uint32]uint64
+}
+
+func (s *sums) reset() { s.last = nil }
+
+func (s *sums) take(key uint32, total uint64) {
+	if s.last == nil {
+		s.last = map[uint32]uint64{}
+	}
+	if s.all == nil {
+		s.all = map[uint32]uint64{}
+	}
+	before, known := s.last[key]
+	s.last[key] = total
+	if known && total > before {
+		s.all[key] += total - before
+	}
+}
+
+// News is what a digest tells the tables of this VM. What a later piece of news
+// under the same key says takes its place.
+type News struct {
+	Key string
+	// Source names whose totals the sums are; where it changes, totals do not
+	// continue those of before.
+	Source      string
+	Incarnation uint64
+	Loads       []Load
+	Quotas      []Quota
+	Work        []Work
+}
+
+// Core is one VM's view. It is not safe for use from many goroutines.
+type Core struct {
+	cfg      Config
+	self     Identity
+	peers    map[string]*peer
+	sequence uint64
+	// view is the hub whose sums of all this VM goes by.
+	view   string
+	viewAt time.Time
+	count  int
+	// zoneSource is the hub of each other zone whose sums are gone by.
+	zoneSource map[string]string
+	holderAt   time.Time
+	holder     string
+	fence      uint64
+}
+
+// New returns a core that knows only itself.
+func New(cfg Config, self Identity) *Core {
+	return &Core{cfg: cfg, self: self, peers: map[string]*peer{}, zoneSource: map[string]string{}}
+}
+
+// Know adds a VM that a list names.
+func (c *Core) Know(id Identity, now time.Time) {
+	if id.PeerAddress == "" || id.PeerAddress == c.self.PeerAddress {
+		return
+	}
+	p, ok := c.peers[id.PeerAddress]
+	if !ok {
+		c.peers[id.PeerAddress] = &peer{Member: Member{Identity: id}, addedAt: now, sequence: map[Kind]uint64{}}
+		return
+	}
+	if p.VM == "" {
+		p.Identity = id
+	}
+}
+
+func (p *peer) lastSign() time.Time {
+	latest := p.addedAt
+	for _, at := range []time.Time{p.heardAt, p.relayedAt} {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+func (c *Core) fresh(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < c.cfg.Fresh }
+
+// Count returns the number of VMs that share limits, this one included.
+func (c *Core) Count(now time.Time) int {
+	if c.fresh(c.viewAt, now) {
+		return max(c.count, 1)
+	}
+	count := 1
+	for _, p := range c.peers {
+		if now.Sub(p.lastSign()) < c.cfg.Counts {
+			count++
+		}
+	}
+	return count
+}
+
+// IsMesh tells whether every VM tells every other.
+func (c *Core) IsMesh(now time.Time) bool { return c.Count(now) <= c.cfg.MeshLimit }
+
+// Hear takes a digest, unless it is older than one already taken. It returns
+// the news in it, if there is any, and whether the digest was taken.
+func (c *Core) Hear(d *Digest, now time.Time) (News, bool) {
+	if d.VM == c.self.VM || d.PeerAddress == c.self.PeerAddress {
+		return News{}, false
+	}
+	c.Know(d.Identity, now)
+	p := c.peers[d.PeerAddress]
+	if d.Incarnation < p.incarnation {
+		return News{}, false
+	}
+	if d.Incarnation > p.incarnation {
+		p.incarnation = d.Incarnation
+		p.sequence = map[Kind]uint64{}
+		p.quotas.reset()
+		p.work.reset()
+	}
+	if d.Sequence <= p.sequence[d.Kind] {
+		return News{}, false
+	}
+	p.sequence[d.Kind] = d.Sequence
+	p.Member, p.heardAt, p.askedAt = d.Member, now, time.Time{}
+	p.reads, p.document, p.servers = d.ReadsStore, d.DocumentEnd, d.ServersEnd
+	c.hearHolder(d, now)
+	for _, m := range d.Members {
+		c.Know(m.Identity, now)
+		if q, ok := c.peers[m.PeerAddress]; ok {
+			q.relayedAt = now
+			if !c.fresh(q.heardAt, now) {
+				q.Member = m
+			}
+		}
+	}
+	return c.news(p, d, now)
+}
+
+func (c *Core) hearHolder(d *Digest, now time.Time) {
+	if d.Fence < c.fence || d.HolderAddress == "" {
+		return
+	}
+	at := now.Add(-time.Duration(d.HolderAgeMillis) * time.Millisecond)
+	if d.Fence > c.fence || at.After(c.holderAt) {
+		c.fence, c.holder, c.holderAt = d.Fence, d.HolderAddress, at
+	}
+}
+
+// Holder returns who holds the duties under which fence, and when it last said
+// so.
+func (c *Core) Holder() (address string, fence uint64, at time.Time) {
+	return c.holder, c.fence, c.holderAt
+}
+
+func (c *Core) news(p *peer, d *Digest, now time.Time) (News, bool) {
+	switch d.Kind {
+	case Own:
+		p.own, p.ownAt = d, now
+		for _, q := range d.Quotas {
+			p.quotas.take(q.Workspace, q.Total)
+		}
+		for _, w := range d.Work {
+			p.work.take(w.Service, w.Millis)
+		}
+		return News{Key: d.VM, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work}, true
+	case Zone:
+		p.zone, p.zoneAt = d, now
+		zone := d.AvailabilityZone
+		if source := c.zoneSource[zone]; source != d.PeerAddress {
+			if old := c.peers[source]; old != nil && c.fresh(old.zoneAt, now) {
+				return News{}, true
+			}
+			c.zoneSource[zone] = d.PeerAddress
+		}
+		for _, q := range d.Quotas {
+			p.quotas.take(q.Workspace, q.Total)
+		}
+		for _, w := range d.Work {
+			p.work.take(w.Service, w.Millis)
+		}
+		return News{Key: "zone:" + zone, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work}, true
+	}
+	if c.hasSubscribers(now) {
+		return News{}, true
+	}
+	if c.view != d.PeerAddress {
+		if old := c.peers[c.view]; old != nil && c.fresh(c.viewAt, now) {
+			return News{}, true
+		}
+		c.view = d.PeerAddress
+	}
+	c.viewAt, c.count = now, d.Count+1
+	return News{Key: "all", Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work}, true
+}
+
+// subscribers are the VMs of the zone that tell this one what they do.
+func (c *Core) subscribers(now time.Time) []*peer {
+	var out []*peer
+	for _, p := range c.peers {
+		if p.AvailabilityZone == c.self.AvailabilityZone && c.fresh(p.ownAt, now) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// hasSubscribers tells whether this VM is a hub to others.
+func (c *Core) hasSubscribers(now time.Time) bool { return len(c.subscribers(now)) > 0 }
+
+// hubsOf returns the VMs of a zone that are to be its hubs: those with the
+// widest links, the same for every VM that knows the same ones. A VM that has
+// been told things and does not answer is passed over.
+func (c *Core) hubsOf(zone string, now time.Time) []*peer {
+	var list []*peer
+	if zone == c.self.AvailabilityZone {
+		list = append(list, &peer{Member: Member{Identity: c.self}, heardAt: now})
+	}
+	for _, p := range c.peers {
+		if p.AvailabilityZone == zone && !p.Draining && !c.silent(p, now) {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(hash(a.VM), hash(b.VM)), cmp.Compare(a.PeerAddress, b.PeerAddress))
+	})
+	return list[:min(len(list), c.cfg.Hubs)]
+}
+
+// silent tells whether a VM has been told things for a while and says nothing.
+func (c *Core) silent(p *peer, now time.Time) bool {
+	return !p.askedAt.IsZero() && now.Sub(p.askedAt) > c.cfg.Fresh
+}
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s))
+	return h.Sum64()
+}
+
+func (c *Core) zones() []string {
+	seen := map[string]bool{c.self.AvailabilityZone: true}
+	for _, p := range c.peers {
+		if p.AvailabilityZone != "" {
+			seen[p.AvailabilityZone] = true
+		}
+	}
+	out := make([]string, 0, len(seen))
+	for z := range seen {
+		out = append(out, z)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// isHub tells whether this VM should be a hub of its zone.
+func (c *Core) isHub(now time.Time) bool {
+	for _, p := range c.hubsOf(c.self.AvailabilityZone, now) {
+		if p.PeerAddress == c.self.PeerAddress {
+			return true
+		}
+	}
+	return false
+}
+
+// IsReader tells whether this VM is to read the store for others.
+func (c *Core) IsReader(now time.Time) bool {
+	if !c.IsMesh(now) {
+		return c.isHub(now)
+	}
+	rank := 0
+	for _, p := range c.peers {
+		if c.fresh(p.heardAt, now) && !p.Draining && hash(p.VM) < hash(c.self.VM) {
+			rank++
+		}
+	}
+	return rank < c.cfg.Readers
+}
+
+// ToldOfStore tells whether a VM that reads the store has lately told this one
+// how far it is.
+func (c *Core) ToldOfStore(now time.Time) bool {
+	for _, p := range c.peers {
+		if p.reads && c.fresh(p.heardAt, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Furthest returns the peer that has read furthest in one of the two topics.
+func (c *Core) Furthest(document bool, now time.Time) (address string, end uint64) {
+	for _, p := range c.peers {
+		if !c.fresh(p.heardAt, now) {
+			continue
+		}
+		at := p.servers
+		if document {
+			at = p.document
+		}
+		if at > end || at == end && at > 0 && p.PeerAddress < address {
+			address, end = p.PeerAddress, at
+		}
+	}
+	return address, end
+}
+
+// Callers returns the VMs that callers may use, as far as this VM knows them.
+func (c *Core) Callers(now time.Time) []Member {
+	var out []Member
+	for _, p := range c.peers {
+		relayed := c.fresh(p.heardAt, now) || !p.relayedAt.IsZero() && now.Sub(p.relayedAt) < 2*c.cfg.Fresh
+		if relayed && p.Ready && !p.Draining && p.CallerAddress != "" {
+			out = append(out, p.Member)
+		}
+	}
+	return out
+}
+
+// Weights returns the number of VMs behind each key of the news.
+func (c *Core) Weights(now time.Time) map[string]int {
+	out := map[string]int{}
+	if c.fresh(c.viewAt, now) && !c.IsMesh(now) {
+		out["all"] = max(c.count-1, 1)
+		return out
+	}
+	mesh := c.IsMesh(now)
+	for _, p := range c.peers {
+		if now.Sub(p.lastSign()) >= c.cfg.Counts || p.VM == "" {
+			continue
+		}
+		if mesh || p.AvailabilityZone == c.self.AvailabilityZone {
+			out[p.VM] = 1
+		} else {
+			out["zone:"+p.AvailabilityZone]++
+		}
+	}
+	for zone, source := range c.zoneSource {
+		if p := c.peers[source]; !mesh && p != nil && c.fresh(p.zoneAt, now) {
+			out["zone:"+zone] = max(p.zone.Count, 1)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/gossip/tell.go
@@ -0,0 +1,234 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+)
+
+// Message is a digest on its way to a VM.
+type Message struct {
+	To     string
+	Digest *Digest
+}
+
+// Tell returns the messages of one period. own is what this VM does itself;
+// its identity, kind and sequence are filled in.
+func (c *Core) Tell(own Digest, now time.Time) []Message {
+	c.sequence++
+	own.Identity, own.Kind, own.Sequence = c.self, Own, c.sequence
+	if own.HolderAddress == "" {
+		own.HolderAddress, own.Fence = c.holder, max(own.Fence, c.fence)
+		own.HolderAgeMillis = uint64(max(now.Sub(c.holderAt).Milliseconds(), 0))
+	}
+	if c.IsMesh(now) {
+		return c.tellMesh(&own, now)
+	}
+	return c.tellHubs(&own, now)
+}
+
+// tellMesh tells every VM what this one does.
+func (c *Core) tellMesh(own *Digest, now time.Time) []Message {
+	if c.sequence%c.cfg.MembersEvery == 0 {
+		own.Members = c.some(now)
+	}
+	var out []Message
+	for _, p := range c.peers {
+		if c.worthTelling(p, now) {
+			out = append(out, Message{To: p.PeerAddress, Digest: own})
+		}
+	}
+	return out
+}
+
+// maxListed bounds the members in the digest of a mesh.
+const maxListed = 4
+
+// some returns a few members in turn, so that all learn of all.
+func (c *Core) some(now time.Time) []Member {
+	var all []Member
+	for _, p := range c.peers {
+		if c.fresh(p.heardAt, now) {
+			all = append(all, p.Member)
+		}
+	}
+	slices.SortFunc(all, func(a, b Member) int { return int(hash(a.VM)%1024) - int(hash(b.VM)%1024) })
+	if len(all) <= maxListed {
+		return all
+	}
+	first := int(c.sequence/c.cfg.MembersEvery) * maxListed % len(all)
+	return append(all, all...)[first : first+maxListed]
+}
+
+// worthTelling bounds what is sent to VMs that say nothing.
+func (c *Core) worthTelling(p *peer, now time.Time) bool {
+	if p.askedAt.IsZero() && !c.fresh(p.heardAt, now) {
+		p.askedAt = now
+	}
+	if c.silent(p, now) && now.Sub(p.triedAt) < c.cfg.Retry {
+		return false
+	}
+	if !p.heardAt.IsZero() && now.Sub(p.heardAt) > 4*c.cfg.Counts && now.Sub(p.triedAt) < 4*c.cfg.Retry {
+		return false
+	}
+	p.triedAt = now
+	return true
+}
+
+// tellHubs tells the zone's hubs what this VM does, and, where this VM is a hub,
+// those of other zones and the VMs of its own what all do.
+func (c *Core) tellHubs(own *Digest, now time.Time) []Message {
+	var out []Message
+	for _, p := range c.hubsOf(c.self.AvailabilityZone, now) {
+		if p.PeerAddress != c.self.PeerAddress && c.worthTelling(p, now) {
+			out = append(out, Message{To: p.PeerAddress, Digest: own})
+		}
+	}
+	subscribers := c.subscribers(now)
+	if len(subscribers) == 0 && !c.isHub(now) {
+		return out
+	}
+	zone := c.sumZone(own, subscribers)
+	for _, name := range c.zones() {
+		if name == c.self.AvailabilityZone {
+			continue
+		}
+		for _, p := range c.hubsOf(name, now) {
+			if c.worthTelling(p, now) {
+				out = append(out, Message{To: p.PeerAddress, Digest: zone})
+			}
+		}
+	}
+	return append(out, c.tellSubscribers(own, zone, subscribers, now)...)
+}
+
+// total adds up loads, quotas and work.
+type total struct {
+	loads  map[uint32]Load
+	quotas map[uint32]uint64
+	work   map[uint32]uint64
+	count  int
+}
+
+func newTotal() *total {
+	return &total{loads: map[uint32]Load{}, quotas: map[uint32]uint64{}, work: map[uint32]uint64{}}
+}
+
+func (t *total) addLoads(loads []Load) {
+	for _, l := range loads {
+		x := t.loads[l.Server]
+		t.loads[l.Server] = Load{Server: l.Server, Prefill: x.Prefill + l.Prefill, Running: x.Running + l.Running, Memory: x.Memory + l.Memory}
+	}
+}
+
+func (t *total) addSums(p *peer) {
+	for k, v := range p.quotas.all {
+		t.quotas[k] += v
+	}
+	for k, v := range p.work.all {
+		t.work[k] += v
+	}
+}
+
+func (t *total) addOwn(own *Digest) {
+	t.addLoads(own.Loads)
+	for _, q := range own.Quotas {
+		t.quotas[q.Workspace] += q.Total
+	}
+	for _, w := range own.Work {
+		t.work[w.Service] += w.Millis
+	}
+	t.count++
+}
+
+// digest writes the total into a copy of own, less what one VM added to it.
+func (t *total) digest(own *Digest, kind Kind, without *peer) *Digest {
+	d := *own
+	d.Kind, d.Usage, d.Members = kind, nil, nil
+	d.Loads, d.Quotas, d.Work = nil, nil, nil
+	d.Count = t.count
+	less := map[uint32]Load{}
+	if without != nil {
+		d.Count--
+		for _, l := range without.own.Loads {
+			less[l.Server] = l
+		}
+	}
+	for server, l := range t.loads {
+		x := less[server]
+		l.Prefill -= min(x.Prefill, l.Prefill)
+		l.Running -= min(x.Running, l.Running)
+		l.Memory -= min(x.Memory, l.Memory)
+		if l.Running > 0 || l.Prefill > 0 {
+			d.Loads = append(d.Loads, l)
+		}
+	}
+	for k, v := range t.quotas {
+		if without != nil {
+			v -= min(without.quotas.all[k], v)
+		}
+		d.Quotas = append(d.Quotas, Quota{Workspace: k, Total: v})
+	}
+	for k, v := range t.work {
+		if without != nil {
+			v -= min(without.work.all[k], v)
+		}
+		d.Work = append(d.Work, Work{Service: k, Millis: v})
+	}
+	return &d
+}
+
+// sumZone sums what this VM and its subscribers do.
+func (c *Core) sumZone(own *Digest, subscribers []*peer) *Digest {
+	t := newTotal()
+	t.addOwn(own)
+	for _, p := range subscribers {
+		t.addLoads(p.own.Loads)
+		t.addSums(p)
+		t.count++
+	}
+	return t.digest(own, Zone, nil)
+}
+
+func (c *Core) tellSubscribers(own, zone *Digest, subscribers []*peer, now time.Time) []Message {
+	t := newTotal()
+	t.addLoads(zone.Loads)
+	for _, q := range zone.Quotas {
+		t.quotas[q.Workspace] += q.Total
+	}
+	for _, w := range zone.Work {
+		t.work[w.Service] += w.Millis
+	}
+	t.count = zone.Count
+	for _, source := range c.zoneSource {
+		if p := c.peers[source]; p != nil && c.fresh(p.zoneAt, now) {
+			t.addLoads(p.zone.Loads)
+			t.addSums(p)
+			t.count += p.zone.Count
+		}
+	}
+	var list []Member
+	if c.sequence%c.cfg.MembersEvery == 0 {
+		list = c.listing(own, subscribers, now)
+	}
+	var out []Message
+	for _, p := range subscribers {
+		d := t.digest(own, All, p)
+		d.Members = list
+		out = append(out, Message{To: p.PeerAddress, Digest: d})
+	}
+	return out
+}
+
+// listing returns the VMs of the zone, and hubs of the others.
+func (c *Core) listing(own *Digest, subscribers []*peer, now time.Time) []Member {
+	list := []Member{own.Member}
+	for _, p := range subscribers {
+		list = append(list, p.Member)
+	}
+	for _, source := range c.zoneSource {
+		if p := c.peers[source]; p != nil && c.fresh(p.zoneAt, now) {
+			list = append(list, p.Member)
+		}
+	}
+	return list
+}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -26,7 +26,13 @@
 	mu      sync.Mutex
 	extra   float64
 	buckets map[string]*bucket
-	peers   map[string]time.Time
+	peers   map[string]*peer
+}
+
+// peer is one or more VMs whose sums are told together.
+type peer struct {
+	heardAt time.Time
+	vms     int
 }
 
 type bucket struct {
@@ -40,8 +46,9 @@
 
 // heard is what a peer has told of one workspace.
 type heard struct {
-	incarnation uint64
-	total       uint64
+	// life names whose sums the total continues.
+	life  string
+	total uint64
 	// assumed is what has been taken out for the peer while it was silent.
 	assumed float64
 }
@@ -49,7 +56,7 @@
 // New returns limits without workspaces. extra is what a bucket may hold over
 // its burst, for what VMs that see each other late refuse too much.
 func New(extra float64) *Shared {
-	return &Shared{extra: extra, buckets: map[string]*bucket{}, peers: map[string]time.Time{}}
+	return &Shared{extra: extra, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
 // Configure takes the limits in force. A new bucket begins half full: other
@@ -82,14 +89,17 @@
 		return
 	}
 	b.at = now
-	share := b.limit.PerSecond / float64(len(s.peers)+1)
-	for name, at := range s.peers {
-		if now.Sub(at) <= SilentAfter {
+	vms := 1
+	for _, p := range s.peers {
+		vms += p.vms
+	}
+	for name, p := range s.peers {
+		if now.Sub(p.heardAt) <= SilentAfter {
 			continue
 		}
-		h := b.of(name)
-		h.assumed += share * passed
-		b.level -= share * passed
+		share := b.limit.PerSecond * float64(p.vms) / float64(vms) * passed
+		b.of(name).assumed += share
+		b.level -= share
 	}
 	b.level = min(b.level+b.limit.PerSecond*passed, b.limit.Burst+s.extra)
 }
@@ -146,55 +156,60 @@
 	return out
 }
 
-// SetPeers tells which VMs share the limits with this one.
-func (s *Shared) SetPeers(names []string, now time.Time) {
+// SetPeers tells which VMs share the limits with this one: the number of VMs
+// behind each name under which sums are told.
+func (s *Shared) SetPeers(vms map[string]int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := make(map[string]bool, len(names))
-	for _, n := range names {
-		present[n] = true
-		if _, ok := s.peers[n]; !ok {
-			s.peers[n] = now
+	for _, b := range s.buckets {
+		s.refill(b, now)
+	}
+	for name, n := range vms {
+		if p, ok := s.peers[name]; ok {
+			p.vms = n
+			continue
 		}
+		s.peers[name] = &peer{heardAt: now, vms: n}
 	}
-	for n := range s.peers {
-		if !present[n] {
-			delete(s.peers, n)
-			for _, b := range s.buckets {
-				delete(b.heard, n)
-			}
+	for name := range s.peers {
+		if _, ok := vms[name]; ok {
+			continue
+		}
+		delete(s.peers, name)
+		for _, b := range s.buckets {
+			delete(b.heard, name)
 		}
 	}
 }
 
-// Hear takes what a peer has admitted since its start.
-func (s *Shared) Hear(peer string, incarnation uint64, totals map[string]uint64, now time.Time) {
+// Hear takes what the VMs behind a name have admitted. Totals of another life
+// do not continue those of before: they are where the next ones count from.
+func (s *Shared) Hear(name, life string, totals map[string]uint64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.buckets {
 		s.refill(b, now)
 	}
-	if _, ok := s.peers[peer]; ok {
-		s.peers[peer] = now
+	if p, ok := s.peers[name]; ok {
+		p.heardAt = now
 	}
-	for name, total := range totals {
-		b, ok := s.buckets[name]
-		if !ok {
-			continue
-		}
-		h := b.of(peer)
-		if h.incarnation != incarnation {
-			*h = heard{incarnation: incarnation, assumed: h.assumed}
-			if b.limit.PerSecond > 0 && float64(total) > b.limit.Burst {
-				// The peer has run for longer than this VM has known it.
-				h.total = total
-			}
+	for workspace, total := range totals {
+		if b, ok := s.buckets[workspace]; ok {
+			b.hear(name, life, total, s.extra)
 		}
-		// A refund lowers a total.
-		drawn := float64(int64(total - h.total))
-		h.total = total
-		taken := min(h.assumed, max(drawn, 0))
-		h.assumed = 0
-		b.level = min(b.level-(drawn-taken), b.limit.Burst+s.extra)
 	}
 }
+
+func (b *bucket) hear(name, life string, total uint64, extra float64) {
+	h := b.of(name)
+	if h.life != life {
+		*h = heard{life: life, total: total}
+		return
+	}
+	// A refund lowers a total.
+	drawn := float64(int64(total - h.total))
+	h.total = total
+	taken := min(h.assumed, max(drawn, 0))
+	h.assumed = 0
+	b.level = min(b.level-(drawn-taken), b.limit.Burst+extra)
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
-	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
 	"coltsfootpath.example/coltsfootpath/internal/state/site"
 	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -69,7 +69,7 @@
 
 type peerLoad struct {
 	at    time.Time
-	loads []digest.Load
+	loads []gossip.Load
 }
 
 func newBackendTable(h *health.Table) *backendTable {
@@ -168,21 +168,21 @@
 	}
 }
 
-// hearLoads takes a peer's loads.
-func (t *backendTable) hearLoads(vm string, loads []digest.Load, now time.Time) {
+// hearLoads takes the loads that are told under a name.
+func (t *backendTable) hearLoads(key string, loads []gossip.Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peerLoads[vm] = peerLoad{at: now, loads: loads}
+	t.peerLoads[key] = peerLoad{at: now, loads: loads}
 }
 
 // ownLoads returns this VM's loads for a digest.
-func (t *backendTable) ownLoads() []digest.Load {
+func (t *backendTable) ownLoads() []gossip.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []digest.Load
+	var out []gossip.Load
 	for _, b := range t.byID {
 		if b.own.Running > 0 || b.own.Prefill > 0 {
-			out = append(out, digest.Load{
+			out = append(out, gossip.Load{
 				Server: b.short, Prefill: uint64(max(b.own.Prefill, 0)), Running: uint64(max(b.own.Running, 0)), Memory: uint64(max(b.own.Memory, 0)),
 			})
 		}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -73,10 +73,10 @@
 	return d.machine.State().Fence, false
 }
 
-func (d *duties) heard(fence uint64, holds bool, now time.Time) {
+func (d *duties) heard(fence uint64, at, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.machine.HeardOf(fence, holds, now)
+	d.machine.HeardOf(fence, at, now)
 }
 
 func (d *duties) run(ctx context.Context) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
+	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -20,9 +23,16 @@
 	// calls too.
 	followBackoff    = 150 * time.Millisecond
 	followBackoffMax = 600 * time.Millisecond
+	// relayTimeout bounds a call to a peer that has read further.
+	relayTimeout = 500 * time.Millisecond
+	// idleLook is how often a VM that leaves reading to others looks whether it
+	// still may.
+	idleLook = 300 * time.Millisecond
 )
 
 // follower keeps this VM up to date with the newest records of a keyed topic.
+// Some VMs read the store; the others are told how far these are, and get the
+// records from them. A VM that hears of no reader reads the store itself.
 type follower struct {
 	node  *Node
 	topic string
@@ -31,43 +41,79 @@
 	pause time.Duration
 	// apply takes a key's newest value, nil where the key is dropped.
 	apply func(key string, value []byte, offset uint64)
+	// nudge is signalled when a peer has read further.
+	nudge chan struct{}
 
-	offsets map[string]uint64
+	// mu guards what peers ask for.
+	mu      sync.Mutex
+	records map[string]relayapi.Record
 	from    uint64
+
+	// The fields below are used by the loop alone.
+	fresh   bool
 	failing int
 }
 
+func newFollower(n *Node, topic string, pause time.Duration, apply func(string, []byte, uint64)) *follower {
+	return &follower{node: n, topic: topic, pause: pause, apply: apply, nudge: make(chan struct{}, 1), records: map[string]relayapi.Record{}}
+}
+
 func (f *follower) run(ctx context.Context) {
-	f.offsets = map[string]uint64{}
-	fresh := false
 	for ctx.Err() == nil {
+		if f.fromPeer(ctx) {
+			sleep(ctx, f.pause)
+			continue
+		}
+		if f.fresh && f.node.members.mayLeaveReading() {
+			f.node.contact.touch(f.topic, f.node.now())
+			f.node.contact.set(f.topic, false)
+			f.await(ctx, idleLook)
+			continue
+		}
 		var err error
-		if fresh {
+		if f.fresh {
 			err = f.read(ctx)
 		} else {
 			err = f.restart(ctx)
 		}
 		switch {
 		case err == nil:
-			fresh = true
+			f.fresh = true
 			f.reached()
 			sleep(ctx, f.pause)
 		case errors.Is(err, platform.ErrGone):
-			f.node.log.Event("store", "records-gone", "topic", f.topic, "from", f.from)
-			fresh = false
+			f.node.log.Event("store", "records-gone", "topic", f.topic, "from", f.end())
+			f.fresh = false
+		case f.nudged(err):
 		default:
 			f.failed(err)
-			sleep(ctx, min(followBackoff<<min(f.failing, 4), followBackoffMax))
+			f.await(ctx, min(followBackoff<<min(f.failing, 4), followBackoffMax))
 		}
 	}
 }
 
+// errNudged ends a read because a peer has read further.
+var errNudged = errors.New("a peer has read further")
+
+func (f *follower) nudged(err error) bool { return errors.Is(err, errNudged) }
+
+func (f *follower) await(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-f.nudge:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (f *follower) reached() {
 	if f.failing > 0 {
 		f.node.log.Event("store", "regained", "topic", f.topic, "failures", f.failing)
 	}
 	f.failing = 0
 	f.node.contact.touch(f.topic, f.node.now())
+	f.node.contact.set(f.topic, true)
 }
 
 func (f *follower) failed(err error) {
@@ -75,6 +121,58 @@
 		f.node.log.Failure("store", "lost", "topic", f.topic, "error", err)
 	}
 	f.failing++
+	f.node.contact.set(f.topic, false)
+}
+
+func (f *follower) end() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.from
+}
+
+func (f *follower) setEnd(end uint64) {
+	f.mu.Lock()
+	f.from = max(f.from, end)
+	end = f.from
+	f.mu.Unlock()
+	f.node.members.hasRead(f.topic, end)
+}
+
+// fromPeer gets the records from a peer that has read further.
+func (f *follower) fromPeer(ctx context.Context) bool {
+	address, end := f.node.members.furthest(f.topic)
+	from := f.end()
+	if end <= from {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	reply, err := relayapi.Records(ctx, f.node.pool.Conn(ctx, address), &relayapi.RecordsRequest{Topic: f.topic, From: from})
+	if err != nil {
+		f.node.log.Failure("store", "relay-failed", "topic", f.topic, "peer", address, "error", err)
+		return false
+	}
+	for _, r := range reply.Records {
+		f.take(r)
+	}
+	f.node.log.Event("store", "relayed", "topic", f.topic, "peer", address, "records", len(reply.Records), "from", from, "end", reply.End)
+	f.setEnd(reply.End)
+	f.fresh = true
+	f.node.contact.touch(f.topic, f.node.now())
+	return reply.End > from
+}
+
+// since returns the newest record of each key that changed from an offset on.
+func (f *follower) since(from uint64) *relayapi.RecordsReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply := &relayapi.RecordsReply{End: f.from}
+	for _, r := range f.records {
+		if r.Offset >= from && (len(r.Value) > 0 || from > 0) {
+			reply.Records = append(reply.Records, r)
+		}
+	}
+	return reply
 }
 
 // restart reads the newest record of each key, at the start and after a gap.
@@ -88,23 +186,51 @@
 	present := make(map[string]bool, len(items))
 	for _, it := range items {
 		present[it.Key] = true
-		f.take(it.Key, it.Value, it.Offset)
+		f.take(relayapi.Record{Key: it.Key, Value: it.Value, Offset: it.Offset})
 	}
-	for key, offset := range f.offsets {
-		if !present[key] && offset < end {
-			f.drop(key, end)
-		}
+	for _, r := range f.dropped(present, end) {
+		f.take(r)
 	}
-	f.from = max(f.from, end)
+	f.setEnd(end)
 	return nil
 }
 
+// dropped returns the end of each key that is no longer there, as of an offset.
+func (f *follower) dropped(present map[string]bool, end uint64) []relayapi.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []relayapi.Record
+	for key, r := range f.records {
+		if !present[key] && len(r.Value) > 0 && r.Offset+1 < end {
+			out = append(out, relayapi.Record{Key: key, Offset: end - 1})
+		}
+	}
+	return out
+}
+
+// read waits at the store for records, until a peer has read further.
 func (f *follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
 	defer cancel()
-	batch, err := f.node.platform.Read(ctx, f.topic, f.from, readWait)
+	done := make(chan struct{})
+	defer close(done)
+	nudged := make(chan struct{})
+	go func() {
+		select {
+		case <-f.nudge:
+			close(nudged)
+			cancel()
+		case <-done:
+		}
+	}()
+	batch, err := f.node.platform.Read(ctx, f.topic, f.end(), readWait)
 	if err != nil {
-		return err
+		select {
+		case <-nudged:
+			return errNudged
+		default:
+			return err
+		}
 	}
 	for i, record := range batch.Records {
 		offset := batch.First + uint64(i)
@@ -114,32 +240,56 @@
 			f.node.metrics.unreadable.WithLabelValues(f.topic).Inc()
 			continue
 		}
-		if len(value) == 0 {
-			f.drop(key, offset)
-			continue
-		}
-		f.take(key, value, offset)
+		f.take(relayapi.Record{Key: key, Value: value, Offset: offset})
 	}
-	f.from = batch.First + uint64(len(batch.Records))
+	f.setEnd(batch.First + uint64(len(batch.Records)))
 	return nil
 }
 
 // take applies a record unless a newer one of its key has been applied.
-func (f *follower) take(key string, value []byte, offset uint64) {
-	if last, ok := f.offsets[key]; ok && offset <= last {
+func (f *follower) take(r relayapi.Record) {
+	f.mu.Lock()
+	last, known := f.records[r.Key]
+	if known && r.Offset <= last.Offset {
+		f.mu.Unlock()
 		return
 	}
-	f.offsets[key] = offset
-	f.apply(key, value, offset)
+	f.records[r.Key] = r
+	f.mu.Unlock()
+	switch {
+	case len(r.Value) > 0:
+		f.apply(r.Key, r.Value, r.Offset)
+	case known && len(last.Value) > 0:
+		f.apply(r.Key, nil, r.Offset)
+	}
 }
 
-func (f *follower) drop(key string, offset uint64) {
-	last, ok := f.offsets[key]
-	if !ok || offset <= last {
-		return
+// nudge wakes the followers whose peer has read further than they have.
+func (n *Node) nudge(d *gossip.Digest) {
+	if d.DocumentEnd > n.operator.end() {
+		n.operator.wake()
+	}
+	if d.ServersEnd > n.servers.end() {
+		n.servers.wake()
+	}
+}
+
+func (f *follower) wake() {
+	select {
+	case f.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Records answers a peer that asks for what this VM has read.
+func (n *Node) Records(_ context.Context, in *relayapi.RecordsRequest) (*relayapi.RecordsReply, error) {
+	switch in.Topic {
+	case platform.OperatorTopic:
+		return n.operator.since(in.From), nil
+	case platform.ServersTopic:
+		return n.servers.since(in.From), nil
 	}
-	delete(f.offsets, key)
-	f.apply(key, nil, offset)
+	return nil, errors.Newf("topic %q is not relayed", in.Topic)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -21,43 +23,41 @@
 	digestInterval = 200 * time.Millisecond
 	// usageEvery is the number of digests between two that carry usage.
 	usageEvery = 5
-	// memberFresh is how long a VM that tells nothing is named to callers.
-	memberFresh = 1200 * time.Millisecond
-	// memberCounts is how long a silent VM is counted among those that share
-	// budgets and quotas.
-	memberCounts = 8 * time.Second
-	// memberForget is when a silent VM is no longer told anything.
-	memberForget = 30 * time.Second
-	// vmsTopic holds the peer address of every VM that ever started.
+	// usageWindows is how many windows back usage is told.
+	usageWindows = 3
+	// vmsTopic holds the identity of every VM that ever started, by name.
 	vmsTopic = "keyed.coltsfoot.vms"
 	// registerEvery is how often a VM that is not yet registered tries.
 	registerEvery = time.Second
 	maxDatagram   = 60 << 10
-	// membersInDigest is the number of peer addresses passed on at a time.
-	membersInDigest = 4
+	// nudgeGap is the shortest time between two digests that are sent early
+	// because the store has news.
+	nudgeGap = 40 * time.Millisecond
 )
 
-// member is what is known of another entry VM.
-type member struct {
-	address string
-	addedAt time.Time
-	// heardAt is zero for a VM that has not told anything.
-	heardAt time.Time
-	digest  *digest.Digest
-}
-
 // members is what this VM knows of the others.
 type members struct {
 	node *Node
 	conn *net.UDPConn
 
-	mu        sync.Mutex
-	byAddress map[string]*member
-	sequence  uint64
+	mu       sync.Mutex
+	core     *gossip.Core
+	sequence uint64
+	early    chan struct{}
+	// documentEnd and serversEnd are how far this VM has read the store.
+	documentEnd, serversEnd uint64
 }
 
 func newMembers(n *Node) *members {
-	return &members{node: n, byAddress: map[string]*member{}}
+	self := gossip.Identity{
+		VM:               n.set.VM,
+		Incarnation:      n.incarnation,
+		AvailabilityZone: n.set.AvailabilityZone,
+		PeerAddress:      n.set.Peers,
+		CallerAddress:    n.set.Callers,
+		Capacity:         int(n.set.LinkMbps),
+	}
+	return &members{node: n, core: gossip.New(gossip.DefaultConfig, self), early: make(chan struct{}, 1)}
 }
 
 func (m *members) listen() error {
@@ -77,170 +77,195 @@
 
 // count returns the number of VMs that share budgets, this one included.
 func (m *members) count() int {
-	now := m.node.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	count := 1
-	for _, x := range m.byAddress {
-		if now.Sub(x.lastSign()) < memberCounts {
-			count++
-		}
-	}
-	return count
+	return m.core.Count(m.node.now())
 }
 
-func (x *member) lastSign() time.Time {
-	if x.heardAt.IsZero() {
-		return x.addedAt
-	}
-	return x.heardAt
-}
-
-// add makes a VM known by its peer address.
-func (m *members) add(address string, now time.Time) {
-	if address == "" || address == m.node.set.Peers {
-		return
-	}
+func (m *members) know(id gossip.Identity) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, ok := m.byAddress[address]; !ok {
-		m.byAddress[address] = &member{address: address, addedAt: now}
-	}
+	m.core.Know(id, m.node.now())
 }
 
+// run tells the peers what this VM does until ctx ends.
 func (m *members) run(ctx context.Context) {
-	m.addSeeds()
+	m.knowSeeds()
 	m.node.loops.Go(func() { m.receive(ctx) })
 	m.node.loops.Go(func() { m.register(ctx) })
+	timer := time.NewTicker(digestInterval)
+	defer timer.Stop()
 	for ctx.Err() == nil {
 		m.announce()
 		m.refresh()
-		sleep(ctx, digestInterval)
+		select {
+		case <-timer.C:
+		case <-m.early:
+			sleep(ctx, nudgeGap)
+		case <-ctx.Done():
+		}
 	}
 }
 
-func (m *members) addSeeds() {
+// hasRead notes how far this VM has read the store, and tells its peers at once.
+func (m *members) hasRead(topic string, end uint64) {
+	m.mu.Lock()
+	at := &m.serversEnd
+	if topic == platform.OperatorTopic {
+		at = &m.documentEnd
+	}
+	changed := end > *at
+	*at = max(*at, end)
+	m.mu.Unlock()
+	if changed {
+		select {
+		case m.early <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (m *members) knowSeeds() {
 	_, port, err := net.SplitHostPort(m.node.set.Peers)
 	if err != nil {
 		return
 	}
 	for seed := range strings.SplitSeq(m.node.set.Seeds, ",") {
 		if host, _, err := net.SplitHostPort(strings.TrimSpace(seed)); err == nil {
-			m.add(net.JoinHostPort(host, port), m.node.now())
+			m.know(gossip.Identity{PeerAddress: net.JoinHostPort(host, port)})
 		}
 	}
 }
 
+// registration is what a VM writes of itself to the store.
+type registration struct {
+	Peer     string `json:"peer"`
+	Zone     string `json:"zone"`
+	Capacity int    `json:"capacity"`
+}
+
 // register writes this VM's address to the store and learns those of others.
 func (m *members) register(ctx context.Context) {
+	n := m.node
+	own, err := json.Marshal(registration{Peer: n.set.Peers, Zone: n.set.AvailabilityZone, Capacity: int(n.set.LinkMbps)})
+	if err != nil {
+		n.log.Failure("members", "not-encoded", "error", err)
+		return
+	}
 	registered := false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, newestTimeout)
 		var err error
 		if !registered {
-			_, err = m.node.platform.Append(callCtx, vmsTopic, platform.EncodeKeyed(m.node.set.VM, []byte(m.node.set.Peers)))
+			_, err = n.platform.Append(callCtx, vmsTopic, platform.EncodeKeyed(n.set.VM, own))
 			registered = err == nil
 		}
 		var items []platform.Item
 		if err == nil {
-			items, _, err = m.node.platform.Newest(callCtx, vmsTopic)
+			items, _, err = n.platform.Newest(callCtx, vmsTopic)
 		}
 		cancel()
 		if err == nil {
-			for _, it := range items {
-				m.add(string(it.Value), m.node.now())
-			}
-			m.node.log.Event("members", "registered", "vms", len(items))
+			m.knowRegistered(items)
 			return
 		}
-		m.node.log.Failure("members", "not-registered", "error", err)
+		n.log.Failure("members", "not-registered", "error", err)
 		sleep(ctx, registerEvery)
 	}
 }
 
-// announce tells all members what this VM does.
-func (m *members) announce() {
-	now := m.node.now()
-	d := m.compose(now)
-	data := d.Marshal()
-	for _, address := range m.targets(now) {
-		to, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
+func (m *members) knowRegistered(items []platform.Item) {
+	for _, it := range items {
+		var r registration
+		if err := json.Unmarshal(it.Value, &r); err != nil {
+			m.node.log.Failure("members", "unreadable-registration", "vm", it.Key, "error", err)
 			continue
 		}
-		// A datagram that is not sent is like one that is lost.
-		_, _ = m.conn.WriteToUDP(data, to)
+		m.know(gossip.Identity{VM: it.Key, PeerAddress: r.Peer, AvailabilityZone: r.Zone, Capacity: r.Capacity})
 	}
+	m.node.log.Event("members", "registered", "vms", len(items))
 }
 
-// targets are the VMs to tell. One that is silent is told less and less often.
-func (m *members) targets(now time.Time) []string {
+// announce sends the digests of one period.
+func (m *members) announce() {
+	now := m.node.now()
+	own := m.compose(now)
+	own.ReadsStore = m.node.contact.reads(platform.OperatorTopic, platform.ServersTopic)
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []string
-	for address, x := range m.byAddress {
-		silent := now.Sub(x.lastSign())
-		switch {
-		case silent > memberForget && m.sequence%50 != 0:
-		case silent > memberCounts && m.sequence%10 != 0:
-		default:
-			out = append(out, address)
+	own.DocumentEnd, own.ServersEnd = m.documentEnd, m.serversEnd
+	messages := m.core.Tell(own, now)
+	holder, _, _ := m.core.Holder()
+	isMesh := m.core.IsMesh(now)
+	m.mu.Unlock()
+	encoded := map[*gossip.Digest][]byte{}
+	for _, x := range messages {
+		data, ok := encoded[x.Digest]
+		if !ok {
+			data = digest.Marshal(x.Digest)
+			encoded[x.Digest] = data
 		}
+		m.send(x.To, data)
+	}
+	if !isMesh && len(own.Usage) > 0 && holder != "" && holder != m.node.set.Peers {
+		m.tellHolder(holder, own)
 	}
-	return out
 }
 
-func (m *members) compose(now time.Time) *digest.Digest {
-	n := m.node
-	fence, holds := n.duties.fence(now)
+// tellHolder sends usage to the VM that reports it, where hubs sum up the rest.
+// The digest's sequence is that of no other message: it carries usage alone.
+func (m *members) tellHolder(holder string, own gossip.Digest) {
+	d := gossip.Digest{Usage: own.Usage, Kind: usageKind}
 	m.mu.Lock()
 	m.sequence++
-	sequence := m.sequence
+	d.Sequence = m.sequence
 	m.mu.Unlock()
-	d := &digest.Digest{
-		VM:               n.set.VM,
-		Incarnation:      n.incarnation,
-		Sequence:         sequence,
-		AvailabilityZone: n.set.AvailabilityZone,
-		CallerAddress:    n.set.Callers,
-		PeerAddress:      n.set.Peers,
-		Ready:            n.Ready(),
-		Draining:         n.draining.Load(),
-		WallMillis:       time.Now().UnixMilli(),
-		Fence:            fence,
-		Holds:            holds,
-		Loads:            n.backends.ownLoads(),
+	d.VM, d.Incarnation, d.PeerAddress = m.node.set.VM, m.node.incarnation, m.node.set.Peers
+	m.send(holder, digest.Marshal(&d))
+}
+
+// usageKind marks a digest that carries usage alone.
+const usageKind gossip.Kind = 3
+
+func (m *members) send(to string, data []byte) {
+	address, err := net.ResolveUDPAddr("udp4", to)
+	if err != nil {
+		m.node.log.Failure("members", "bad-address", "address", to, "error", err)
+		return
+	}
+	// A datagram that is not sent is like one that is lost.
+	_, _ = m.conn.WriteToUDP(data, address)
+}
+
+// compose gathers what this VM does.
+func (m *members) compose(now time.Time) gossip.Digest {
+	n := m.node
+	m.sequence++
+	d := gossip.Digest{
+		WallMillis: time.Now().UnixMilli(),
+		Loads:      n.backends.ownLoads(),
 	}
-	if doc := n.document.Load(); doc != nil {
-		d.DocumentVersion = doc.Version
+	d.Ready, d.Draining = n.Ready(), n.draining.Load()
+	if fence, holds := n.duties.fence(now); holds {
+		d.Fence, d.HolderAddress = fence, n.set.Peers
 	}
 	for name, total := range n.quota.Totals() {
-		d.Quotas = append(d.Quotas, digest.Quota{Workspace: shortHash(name), Total: total})
+		d.Quotas = append(d.Quotas, gossip.Quota{Workspace: shortHash(name), Total: total})
 	}
-	if sequence%usageEvery == 0 || d.Draining {
-		m.addUsage(d, now)
+	if m.sequence%usageEvery == 0 || d.Draining {
+		m.addUsage(&d, now)
 	}
 	return d
 }
 
-func (m *members) addUsage(d *digest.Digest, now time.Time) {
+func (m *members) addUsage(d *gossip.Digest, now time.Time) {
 	n := m.node
-	first := n.duties.windowOf(now) - 3
-	for window, counts := range n.usage.Own(first) {
+	for window, counts := range n.usage.Own(n.duties.windowOf(now) - usageWindows) {
 		for name, count := range counts {
-			d.Usage = append(d.Usage, digest.Usage{Window: window, Workspace: name, Count: count})
+			d.Usage = append(d.Usage, gossip.Usage{Window: window, Workspace: name, Count: count})
 		}
 	}
 	for service, millis := range n.work.sums() {
-		d.Work = append(d.Work, digest.Work{Service: shortHash(service), Millis: uint64(millis)})
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for address := range m.byAddress {
-		if len(d.Members) >= membersInDigest {
-			break
-		}
-		d.Members = append(d.Members, address)
+		d.Work = append(d.Work, gossip.Work{Service: shortHash(service), Millis: uint64(millis)})
 	}
 }
 
@@ -254,6 +279,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			m.node.log.Failure("members", "not-received", "error", err)
 			continue
 		}
 		d, err := digest.Unmarshal(buffer[:size])
@@ -265,24 +291,32 @@
 	}
 }
 
-// take applies a peer's digest, unless it is older than one already applied.
-func (m *members) take(d *digest.Digest, now time.Time) {
-	if d.VM == m.node.set.VM {
+// take applies a peer's digest.
+func (m *members) take(d *gossip.Digest, now time.Time) {
+	n := m.node
+	m.hearUsage(d)
+	if d.Kind == usageKind {
 		return
 	}
-	m.add(d.PeerAddress, now)
-	for _, address := range d.Members {
-		m.add(address, now)
-	}
-	if !m.store(d, now) {
+	m.mu.Lock()
+	news, taken := m.core.Hear(d, now)
+	_, fence, heldAt := m.core.Holder()
+	m.mu.Unlock()
+	if !taken {
 		return
 	}
-	n := m.node
 	n.clock.hear(d.VM, d.WallMillis, now)
-	n.backends.hearLoads(d.VM, d.Loads, now)
-	n.duties.heard(d.Fence, d.Holds, now)
-	n.quota.Hear(d.VM, d.Incarnation, m.quotaTotals(d), now)
-	bySource := usage.Source{VM: d.VM, Incarnation: d.Incarnation}
+	n.duties.heard(fence, heldAt, now)
+	n.nudge(d)
+	if news.Key == "" {
+		return
+	}
+	n.backends.hearLoads(news.Key, news.Loads, now)
+	n.quota.Hear(news.Key, news.Source+"/"+time.UnixMilli(int64(news.Incarnation)).UTC().Format(time.RFC3339Nano), m.quotaTotals(news.Quotas), now)
+	n.work.hear(news.Key, news.Source, news.Incarnation, news.Work)
+}
+
+func (m *members) hearUsage(d *gossip.Digest) {
 	byWindow := map[int64]usage.Counts{}
 	for _, u := range d.Usage {
 		if byWindow[u.Window] == nil {
@@ -291,45 +325,23 @@
 		byWindow[u.Window][u.Workspace] = u.Count
 	}
 	for window, counts := range byWindow {
-		n.usage.Hear(bySource, window, counts)
-	}
-}
-
-func (m *members) store(d *digest.Digest, now time.Time) bool {
-	m.mu.Lock()
-	x, ok := m.byAddress[d.PeerAddress]
-	if !ok {
-		m.mu.Unlock()
-		return false
-	}
-	old := x.digest
-	if old != nil && (d.Incarnation < old.Incarnation || d.Incarnation == old.Incarnation && d.Sequence <= old.Sequence) {
-		m.mu.Unlock()
-		return false
-	}
-	silent := time.Duration(0)
-	if !x.heardAt.IsZero() {
-		silent = now.Sub(x.heardAt)
-	}
-	x.digest, x.heardAt = d, now
-	m.mu.Unlock()
-	if old == nil || old.Incarnation != d.Incarnation || old.Draining != d.Draining || silent > memberFresh {
-		m.node.log.Event("members", "heard", "vm", d.VM, "incarnation", d.Incarnation, "ready", d.Ready, "draining", d.Draining, "silent", silent)
+		m.node.usage.Hear(usage.Source{VM: d.VM, Incarnation: d.Incarnation}, window, counts)
 	}
-	return true
 }
 
-func (m *members) quotaTotals(d *digest.Digest) map[string]uint64 {
+func (m *members) quotaTotals(quotas []gossip.Quota) map[string]uint64 {
 	doc := m.node.document.Load()
-	if doc == nil {
+	if doc == nil || len(quotas) == 0 {
 		return nil
 	}
+	byHash := make(map[uint32]string, len(doc.Workspaces))
+	for i := range doc.Workspaces {
+		byHash[shortHash(doc.Workspaces[i].Name)] = doc.Workspaces[i].Name
+	}
 	totals := map[string]uint64{}
-	for _, q := range d.Quotas {
-		for i := range doc.Workspaces {
-			if shortHash(doc.Workspaces[i].Name) == q.Workspace {
-				totals[doc.Workspaces[i].Name] = q.Total
-			}
+	for _, q := range quotas {
+		if name, ok := byHash[q.Workspace]; ok {
+			totals[name] = q.Total
 		}
 	}
 	return totals
@@ -338,29 +350,33 @@
 // refresh tells the other tables who is there.
 func (m *members) refresh() {
 	now := m.node.now()
-	var names []string
-	fresh := 0
 	m.mu.Lock()
-	for _, x := range m.byAddress {
-		if x.digest == nil {
-			continue
-		}
-		if now.Sub(x.heardAt) < memberCounts {
-			names = append(names, x.digest.VM)
-		}
-		if now.Sub(x.heardAt) < memberFresh {
-			fresh++
-		}
-	}
+	weights := m.core.Weights(now)
+	count := m.core.Count(now)
 	m.mu.Unlock()
-	m.node.quota.SetPeers(names, now)
-	m.node.metrics.members.Set(float64(fresh))
+	m.node.quota.SetPeers(weights, now)
+	m.node.metrics.members.Set(float64(count))
+}
+
+// mayLeaveReading tells whether this VM may leave reading the store to others:
+// it is none of those that read, and hears from one.
+func (m *members) mayLeaveReading() bool {
+	now := m.node.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.core.IsReader(now) && m.core.ToldOfStore(now)
+}
+
+// furthest returns the peer that has read furthest in a topic.
+func (m *members) furthest(topic string) (string, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Furthest(topic == platform.OperatorTopic, m.node.now())
 }
 
 // callerAddresses returns where callers of an availability zone should connect:
 // to the VMs of their own zone, and to all where these are too few.
 func (m *members) callerAddresses(zone string) []string {
-	now := m.node.now()
 	var near, all []string
 	add := func(vmZone, address string) {
 		all = append(all, address)
@@ -372,10 +388,8 @@
 		add(m.node.set.AvailabilityZone, m.node.set.Callers)
 	}
 	m.mu.Lock()
-	for _, x := range m.byAddress {
-		if x.digest != nil && x.digest.Ready && !x.digest.Draining && now.Sub(x.heardAt) < memberFresh {
-			add(x.digest.AvailabilityZone, x.digest.CallerAddress)
-		}
+	for _, x := range m.core.Callers(m.node.now()) {
+		add(x.AvailabilityZone, x.CallerAddress)
 	}
 	m.mu.Unlock()
 	if len(near) < minNear {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quota"
@@ -22,8 +23,10 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/eventlog"
 	monitor "coltsfootpath.example/coltsfootpath/internal/metrics"
+	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
 	"coltsfootpath.example/coltsfootpath/internal/state/site"
 	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
+	"coltsfootpath.example/coltsfootpath/internal/transport/peer"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -75,6 +78,10 @@
 	retries  *retryBudgets
 	usage    *usage.Table
 	members  *members
+	operator *follower
+	servers  *follower
+	relay    *peer.Server
+	pool     *peer.Pool
 	duties   *duties
 	contact  *contact
 	clock    *wallClock
@@ -125,6 +132,9 @@
 	n.quota = quota.New(quotaExtraShare * float64(set.QuotaSlack))
 	n.usage = usage.NewTable(usage.Source{VM: set.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
+	n.operator = newFollower(n, platform.OperatorTopic, 0, n.applyOperator)
+	n.servers = newFollower(n, platform.ServersTopic, serversPause, n.applyServer)
+	n.pool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.retries = newRetryBudgets(retry.Config{
 		Ratio:   set.RetryRatio * retryShare,
@@ -147,8 +157,15 @@
 }
 
 func (n *Node) listen() error {
-	var err error
-	if err = n.members.listen(); err != nil {
+	if err := n.members.listen(); err != nil {
+		return err
+	}
+	listener, err := peer.Listen(n.set.Peers)
+	if err != nil {
+		return err
+	}
+	n.relay, err = peer.ServeCalls(listener, func(mux drpc.Mux) error { return relayapi.Register(mux, n) })
+	if err != nil {
 		return err
 	}
 	if n.monitor, err = monitor.Serve(n.set.Metrics, n.metrics.registry, n.Ready); err != nil {
@@ -168,10 +185,8 @@
 }
 
 func (n *Node) startLoops() {
-	operator := &follower{node: n, topic: platform.OperatorTopic, apply: n.applyOperator}
-	servers := &follower{node: n, topic: platform.ServersTopic, pause: serversPause, apply: n.applyServer}
-	n.loops.Go(func() { operator.run(n.ctx) })
-	n.loops.Go(func() { servers.run(n.ctx) })
+	n.loops.Go(func() { n.operator.run(n.ctx) })
+	n.loops.Go(func() { n.servers.run(n.ctx) })
 	n.loops.Go(func() { n.members.run(n.ctx) })
 	n.loops.Go(func() { n.duties.run(n.ctx) })
 	n.loops.Go(func() { n.sweep(n.ctx) })
@@ -303,6 +318,10 @@
 		}
 	}
 	n.members.close()
+	if n.relay != nil {
+		n.relay.Close()
+	}
+	n.pool.Close()
 	n.loops.Wait()
 	n.log.Close()
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,6 +24,7 @@
 	Cloud string
 
 	MemoryMB int
+	LinkMbps float64
 	Grace    time.Duration
 
 	RequireFence bool
@@ -50,6 +51,7 @@
 	schema.RequiredName("vm", "availability_zone", &s.AvailabilityZone, "availability zone of this VM")
 	schema.RequiredName("vm", "region", &s.Region, "region of this VM")
 	schema.Int("vm", "memory_mb", &s.MemoryMB, 256, 64, 1<<20, "MB", "memory that the process may use")
+	schema.Ratio("vm", "link_mbps", &s.LinkMbps, 1000, 0, 1e6, "bandwidth of the VM's link in Mbit/s")
 	schema.Duration("vm", "grace", &s.Grace, 8*time.Second, time.Second, time.Hour, "time from SIGTERM to the kill")
 	schema.RequiredAddress("listen", "callers", &s.Callers, "where callers connect")
 	schema.RequiredAddress("listen", "ready", &s.Ready, "where readiness is asked for")
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -1,21 +1,43 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/retry"
 )
 
 // contact remembers when each topic of the store was last read.
 type contact struct {
-	mu sync.Mutex
-	at map[string]time.Time
+	mu     sync.Mutex
+	at     map[string]time.Time
+	direct map[string]bool
 }
 
 func newContact() *contact {
-	return &contact{at: map[string]time.Time{}}
+	return &contact{at: map[string]time.Time{}, direct: map[string]bool{}}
+}
+
+// set notes whether the last read of a topic at the store itself went well.
+func (c *contact) set(topic string, direct bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.direct[topic] = direct
+}
+
+// reads tells whether this VM reads all topics at the store itself.
+func (c *contact) reads(topics ...string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range topics {
+		if !c.direct[t] {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *contact) touch(topic string, now time.Time) {
@@ -121,13 +143,25 @@
 	return (all[len(all)/2] + steady(now)).Milliseconds()
 }
 
-// workMeter sums the engine time that requests ask for, by service.
+// workMeter sums the engine time that requests ask for, by service, at this VM
+// and at all others.
 type workMeter struct {
-	mu  sync.Mutex
-	sum map[string]float64
+	mu    sync.Mutex
+	sum   map[string]float64
+	heard map[string]heardWork
+	// others is what has been heard, by service hash; it only grows.
+	others map[uint32]uint64
 }
 
-func newWorkMeter() *workMeter { return &workMeter{sum: map[string]float64{}} }
+type heardWork struct {
+	source      string
+	incarnation uint64
+	millis      map[uint32]uint64
+}
+
+func newWorkMeter() *workMeter {
+	return &workMeter{sum: map[string]float64{}, heard: map[string]heardWork{}, others: map[uint32]uint64{}}
+}
 
 func (m *workMeter) add(service string, millis float64) {
 	m.mu.Lock()
@@ -138,9 +172,32 @@
 func (m *workMeter) sums() map[string]float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[string]float64, len(m.sum))
-	for k, v := range m.sum {
-		out[k] = v
+	return maps.Clone(m.sum)
+}
+
+// hear takes the sums that are told under a name.
+func (m *workMeter) hear(key, source string, incarnation uint64, work []gossip.Work) {
+	if len(work) == 0 {
+		return
 	}
-	return out
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.heard[key]
+	now := heardWork{source: source, incarnation: incarnation, millis: map[uint32]uint64{}}
+	for _, w := range work {
+		now.millis[w.Service] = w.Millis
+		old, known := before.millis[w.Service]
+		if known && before.source == source && before.incarnation == incarnation && w.Millis > old {
+			m.others[w.Service] += w.Millis - old
+		}
+	}
+	m.heard[key] = now
+}
+
+// total returns the engine time that all VMs have asked for of a service, from
+// some moment on.
+func (m *workMeter) total(service string) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sum[service] + float64(m.others[shortHash(service)])
 }
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -1,5 +1,5 @@
-// Package digest is the message by which entry VMs tell each other a few times
-// a second what they do: a datagram that may be lost, late or repeated.
+// Package digest encodes what entry VMs tell each other a few times a second:
+// datagrams that may be lost, late or repeated.
 package digest
 
 import (
@@ -7,63 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
-)
-
-// Digest is what one entry VM tells of itself.
-type Digest struct {
-	VM               string
-	Incarnation      uint64
-	Sequence         uint64
-	AvailabilityZone string
-	CallerAddress    string
-	PeerAddress      string
-	Ready            bool
-	Draining         bool
-	// WallMillis is the sender's time of day.
-	WallMillis int64
-	// Fence is the highest fence of the single duties that the sender knows,
-	// and Holds tells whether it is its own.
-	Fence uint64
-	Holds bool
-	// DocumentVersion is the version of the sender's document.
-	DocumentVersion int64
-	// WorkMillis is the engine time that the sender has asked for since its
-	// start, by service hash.
-	Work  []Work
-	Loads []Load
-	// Quotas are sums since the sender's start, by workspace hash.
-	Quotas []Quota
-	Usage  []Usage
-	// Members are other VMs' peer addresses.
-	Members []string
-}
-
-// Work is the engine time that a service has been asked for.
-type Work struct {
-	Service uint32
-	Millis  uint64
-}
-
-// Load is the sender's work on one backend server, by the server's hash.
-type Load struct {
-	Server  uint32
-	Prefill uint64
-	Running uint64
-	Memory  uint64
-}
-
-// Quota is what the sender has admitted of a workspace.
-type Quota struct {
-	Workspace uint32
-	Total     uint64
-}
 
-// Usage is the number of requests that began at the sender in a window.
-type Usage struct {
-	Window    int64
-	Workspace string
-	Count     int
-}
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
+)
 
 // Field numbers.
 const (
@@ -76,7 +22,13 @@
 	fieldFlags
 	fieldWall
 	fieldFence
-	fieldDocument
+	fieldHolder
+	fieldHolderAge
+	fieldDocumentEnd
+	fieldServersEnd
+	fieldKind
+	fieldCapacity
+	fieldCount
 	fieldWork
 	fieldLoad
 	fieldQuota
@@ -87,7 +39,7 @@
 const (
 	flagReady = 1 << iota
 	flagDraining
-	flagHolds
+	flagReadsStore
 )
 
 // memoryUnit and prefillUnit are the tokens that one unit on the wire stands
@@ -116,28 +68,17 @@
 }
 
 // Marshal encodes the digest.
-func (d *Digest) Marshal() []byte {
-	var flags uint64
-	if d.Ready {
-		flags |= flagReady
-	}
-	if d.Draining {
-		flags |= flagDraining
-	}
-	if d.Holds {
-		flags |= flagHolds
-	}
-	b := make([]byte, 0, 512)
-	b = text(b, fieldVM, d.VM)
-	b = number(b, fieldIncarnation, d.Incarnation)
+func Marshal(d *gossip.Digest) []byte {
+	b := appendMember(make([]byte, 0, 512), &d.Member, d.ReadsStore)
 	b = number(b, fieldSequence, d.Sequence)
-	b = text(b, fieldZone, d.AvailabilityZone)
-	b = text(b, fieldCaller, d.CallerAddress)
-	b = text(b, fieldPeer, d.PeerAddress)
-	b = number(b, fieldFlags, flags)
 	b = number(b, fieldWall, uint64(d.WallMillis))
 	b = number(b, fieldFence, d.Fence)
-	b = number(b, fieldDocument, uint64(d.DocumentVersion))
+	b = text(b, fieldHolder, d.HolderAddress)
+	b = number(b, fieldHolderAge, d.HolderAgeMillis)
+	b = number(b, fieldDocumentEnd, d.DocumentEnd)
+	b = number(b, fieldServersEnd, d.ServersEnd)
+	b = number(b, fieldKind, uint64(d.Kind))
+	b = number(b, fieldCount, uint64(d.Count))
 	var inner []byte
 	for _, w := range d.Work {
 		inner = number(inner[:0], 1, uint64(w.Service))
@@ -158,12 +99,32 @@
 		inner = text(inner, 2, u.Workspace)
 		b = group(b, fieldUsage, number(inner, 3, uint64(u.Count)))
 	}
-	for _, m := range d.Members {
-		b = text(b, fieldMember, m)
+	for i := range d.Members {
+		b = group(b, fieldMember, appendMember(inner[:0], &d.Members[i], false))
 	}
 	return b
 }
 
+func appendMember(b []byte, m *gossip.Member, reads bool) []byte {
+	var flags uint64
+	if m.Ready {
+		flags |= flagReady
+	}
+	if m.Draining {
+		flags |= flagDraining
+	}
+	if reads {
+		flags |= flagReadsStore
+	}
+	b = text(b, fieldVM, m.VM)
+	b = number(b, fieldIncarnation, m.Incarnation)
+	b = text(b, fieldZone, m.AvailabilityZone)
+	b = text(b, fieldCaller, m.CallerAddress)
+	b = text(b, fieldPeer, m.PeerAddress)
+	b = number(b, fieldCapacity, uint64(m.Capacity))
+	return number(b, fieldFlags, flags)
+}
+
 // fields calls f for each field of a message.
 func fields(b []byte, f func(num protowire.Number, v uint64, bytes []byte)) error {
 	for len(b) > 0 {
@@ -192,35 +153,35 @@
 }
 
 // Unmarshal decodes a digest. Unknown fields are passed over.
-func Unmarshal(b []byte) (*Digest, error) {
-	d := &Digest{}
+func Unmarshal(b []byte) (*gossip.Digest, error) {
+	d := &gossip.Digest{}
 	var inner error
 	err := fields(b, func(num protowire.Number, v uint64, bytes []byte) {
+		if takeMember(&d.Member, num, v, bytes) {
+			d.ReadsStore = d.ReadsStore || num == fieldFlags && v&flagReadsStore != 0
+			return
+		}
 		switch num {
-		case fieldVM:
-			d.VM = string(bytes)
-		case fieldIncarnation:
-			d.Incarnation = v
 		case fieldSequence:
 			d.Sequence = v
-		case fieldZone:
-			d.AvailabilityZone = string(bytes)
-		case fieldCaller:
-			d.CallerAddress = string(bytes)
-		case fieldPeer:
-			d.PeerAddress = string(bytes)
-		case fieldFlags:
-			d.Ready, d.Draining, d.Holds = v&flagReady != 0, v&flagDraining != 0, v&flagHolds != 0
 		case fieldWall:
 			d.WallMillis = int64(v)
 		case fieldFence:
 			d.Fence = v
-		case fieldDocument:
-			d.DocumentVersion = int64(v)
-		case fieldMember:
-			d.Members = append(d.Members, string(bytes))
+		case fieldHolder:
+			d.HolderAddress = string(bytes)
+		case fieldHolderAge:
+			d.HolderAgeMillis = bounded(v)
+		case fieldDocumentEnd:
+			d.DocumentEnd = v
+		case fieldServersEnd:
+			d.ServersEnd = v
+		case fieldKind:
+			d.Kind = gossip.Kind(bounded(v))
+		case fieldCount:
+			d.Count = int(bounded(v))
 		default:
-			inner = errors.CombineErrors(inner, d.unmarshalGroup(num, bytes))
+			inner = errors.CombineErrors(inner, unmarshalGroup(d, num, bytes))
 		}
 	})
 	if err == nil {
@@ -229,13 +190,42 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.VM == "" || d.Incarnation == 0 {
+	if d.VM == "" || d.Incarnation == 0 || d.PeerAddress == "" {
 		return nil, errors.New("digest names no VM")
 	}
 	return d, nil
 }
 
-func (d *Digest) unmarshalGroup(num protowire.Number, bytes []byte) error {
+// takeMember takes a field that says who a VM is.
+func takeMember(m *gossip.Member, num protowire.Number, v uint64, bytes []byte) bool {
+	switch num {
+	case fieldVM:
+		m.VM = string(bytes)
+	case fieldIncarnation:
+		m.Incarnation = v
+	case fieldZone:
+		m.AvailabilityZone = string(bytes)
+	case fieldCaller:
+		m.CallerAddress = string(bytes)
+	case fieldPeer:
+		m.PeerAddress = string(bytes)
+	case fieldCapacity:
+		m.Capacity = int(bounded(v))
+	case fieldFlags:
+		m.Ready, m.Draining = v&flagReady != 0, v&flagDraining != 0
+	default:
+		return false
+	}
+	return true
+}
+
+func unmarshalGroup(d *gossip.Digest, num protowire.Number, bytes []byte) error {
+	if num == fieldMember {
+		var m gossip.Member
+		err := fields(bytes, func(n protowire.Number, v uint64, text []byte) { takeMember(&m, n, v, text) })
+		d.Members = append(d.Members, m)
+		return err
+	}
 	var v [5]uint64
 	var s string
 	err := fields(bytes, func(n protowire.Number, x uint64, text []byte) {
@@ -248,13 +238,13 @@
 	})
 	switch num {
 	case fieldWork:
-		d.Work = append(d.Work, Work{Service: uint32(v[1]), Millis: v[2]})
+		d.Work = append(d.Work, gossip.Work{Service: uint32(v[1]), Millis: v[2]})
 	case fieldLoad:
-		d.Loads = append(d.Loads, Load{Server: uint32(v[1]), Prefill: bounded(v[2]) * prefillUnit, Running: bounded(v[3]), Memory: bounded(v[4]) * memoryUnit})
+		d.Loads = append(d.Loads, gossip.Load{Server: uint32(v[1]), Prefill: bounded(v[2]) * prefillUnit, Running: bounded(v[3]), Memory: bounded(v[4]) * memoryUnit})
 	case fieldQuota:
-		d.Quotas = append(d.Quotas, Quota{Workspace: uint32(v[1]), Total: v[2]})
+		d.Quotas = append(d.Quotas, gossip.Quota{Workspace: uint32(v[1]), Total: v[2]})
 	case fieldUsage:
-		d.Usage = append(d.Usage, Usage{Window: int64(v[1]), Workspace: s, Count: int(bounded(v[3]))})
+		d.Usage = append(d.Usage, gossip.Usage{Window: int64(v[1]), Workspace: s, Count: int(bounded(v[3]))})
 	}
 	return err
 }
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
@@ -39,8 +40,13 @@
 
 // Serve serves impl on listener until Close.
 func Serve(listener net.Listener, impl peerapi.DRPCPeerServer) (*Server, error) {
+	return ServeCalls(listener, func(mux drpc.Mux) error { return peerapi.DRPCRegisterPeer(mux, impl) })
+}
+
+// ServeCalls serves the calls that register adds.
+func ServeCalls(listener net.Listener, register func(mux drpc.Mux) error) (*Server, error) {
 	mux := drpcmux.New()
-	if err := peerapi.DRPCRegisterPeer(mux, impl); err != nil {
+	if err := register(mux); err != nil {
 		return nil, errors.Wrap(err, "register peer protocol")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -80,8 +86,12 @@
 
 // Client returns a client for the peer at address. It needs no closing.
 func (p *Pool) Client(ctx context.Context, address string) peerapi.DRPCPeerClient {
-	conn := p.pool.Get(ctx, address, dial)
-	return peerapi.NewDRPCPeerClient(conn)
+	return peerapi.NewDRPCPeerClient(p.Conn(ctx, address))
+}
+
+// Conn returns a connection to the peer at address. It needs no closing.
+func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
+	return p.pool.Get(ctx, address, dial)
 }
 
 func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
