--- a/internal/coordination/fleetplan/counts.go
+++ b/internal/coordination/fleetplan/counts.go
@@ -76,6 +76,21 @@
 		target = held
 	}
 	fillZones(target, b.MinPerZone, offers)
+	return c.widen(target, d, offers)
+}
+
+// widen adds reclaimable VMs up to what is wanted.
+func (c *Counter) widen(target Counts, d Demand, offers []Offer) Counts {
+	if d.Wanted <= d.RequestsPerSecond {
+		return target
+	}
+	d.RequestsPerSecond = d.Wanted
+	for i := range offers {
+		offers[i].Blocked = offers[i].Blocked || !offers[i].Reclaimable
+	}
+	if wide, _ := Cheapest(d, offers, target); wide != nil {
+		return wide
+	}
 	return target
 }
 
@@ -89,6 +104,7 @@
 			continue
 		}
 		if ideal == nil {
+			d.RequestsPerSecond = max(d.RequestsPerSecond, d.Wanted)
 			ideal, _ = Cheapest(d, offers, nil)
 		}
 		room := b.MaxPerZone - zone[o.AvailabilityZone]
--- a/internal/coordination/fleetplan/plan.go
+++ b/internal/coordination/fleetplan/plan.go
@@ -35,6 +35,9 @@
 type Demand struct {
 	// RequestsPerSecond is served with any one availability zone gone.
 	RequestsPerSecond float64
+	// Wanted is what is served so as far as reclaimable VMs are to be had: they
+	// are cheap enough to keep some more, and to be without for a while.
+	Wanted float64
 	// OnDemand is the part that on-demand VMs alone serve, against a wave that
 	// takes reclaimable VMs of several zones.
 	OnDemand float64
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -100,6 +100,8 @@
 		}
 	case duty.Renew:
 		d.append(ctx, d.record(false))
+	case duty.Wait:
+		d.noteSizes(ctx)
 	}
 	if holder, ok := d.holder(); ok {
 		d.reportUsage(ctx, holder)
@@ -107,6 +109,17 @@
 	}
 }
 
+// noteSizes writes how many servers there were at first as soon as more of them
+// are known.
+func (d *duties) noteSizes(ctx context.Context) {
+	if _, ok := d.holder(); !ok {
+		return
+	}
+	if r := d.record(false); r.Sizes != nil {
+		d.append(ctx, r)
+	}
+}
+
 func (d *duties) holder() (platform.Holder, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -118,7 +131,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.machine.Record(claim)
-	r.Sizes = d.orders.settle(d.machine.State().Sizes, d.node.now())
+	r.Sizes = d.orders.sizes(d.machine.State().Sizes)
 	return r
 }
 
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/fleetplan"
@@ -19,13 +20,18 @@
 	// refusedPause is how long a kind of server that was not to be had is not
 	// asked for again.
 	refusedPause = 2 * time.Second
-	// settleTime is how long the number of servers has to stay the same before it
-	// is taken as what the operator began with.
-	settleTime = 2 * time.Second
 	// priceUnit turns relative prices into the plan's whole numbers.
 	priceUnit = 1000
 )
 
+// demandConfig leaves engines room for prompts that meet on them.
+var demandConfig = fleetplan.DemandConfig{
+	Needed: fleetplan.Level{Utilization: 1.3, FloorShare: 0.45},
+	Wanted: fleetplan.Level{Utilization: 0.9, FloorShare: 0.6},
+	Window: 3 * time.Second,
+	Hold:   10 * time.Second,
+}
+
 // orderer orders backend servers while this VM holds the duties.
 type orderer struct {
 	node     *Node
@@ -38,9 +44,7 @@
 type serviceOrders struct {
 	counter *fleetplan.Counter
 	ordered map[fleetplan.Slot]order
-	// count is the number of servers seen last, since when it has not changed.
-	count int
-	since time.Time
+	meter   *fleetplan.Meter
 }
 
 type order struct {
@@ -52,21 +56,36 @@
 	return &orderer{node: n, services: map[string]*serviceOrders{}}
 }
 
-// settle returns the sizes of the services as first found, once these have not
-// changed for a while: servers register one by one.
-func (o *orderer) settle(known map[string]int, now time.Time) map[string]int {
-	out := map[string]int{}
-	added := false
-	for name, size := range known {
-		out[name] = size
+// sizes returns the number of servers of each scaled service as first found,
+// where it has grown: servers register one by one, and none that was ordered
+// counts.
+func (o *orderer) sizes(known map[string]int) map[string]int {
+	doc := o.node.document.Load()
+	if doc == nil {
+		return nil
+	}
+	out := maps.Clone(known)
+	if out == nil {
+		out = map[string]int{}
 	}
-	for name, so := range o.services {
-		if out[name] == 0 && so.count > 0 && now.Sub(so.since) >= settleTime {
-			out[name] = so.count
-			added = true
+	grown := false
+	for name, s := range doc.Services {
+		if s.Scaling == nil {
+			continue
+		}
+		count := 0
+		for slot, n := range o.present(name) {
+			if slot.Reclaimable {
+				count = 0
+				break
+			}
+			count += n
+		}
+		if count > out[name] {
+			out[name], grown = count, true
 		}
 	}
-	if !added {
+	if !grown {
 		return nil
 	}
 	return out
@@ -94,17 +113,17 @@
 	now := o.node.now()
 	so, ok := o.services[name]
 	if !ok {
-		so = &serviceOrders{counter: fleetplan.NewCounter(refusedPause), ordered: map[fleetplan.Slot]order{}}
+		so = &serviceOrders{counter: fleetplan.NewCounter(refusedPause), ordered: map[fleetplan.Slot]order{}, meter: fleetplan.NewMeter(demandConfig)}
 		o.services[name] = so
 	}
 	have := o.present(name)
-	if count := have.Total(); count != so.count {
-		so.count, so.since = count, now
-	}
-	demand, ok := o.demand(name, s)
-	if !ok {
+	so.meter.Note(o.node.work.total(name), now)
+	found := o.found(name)
+	if found == 0 {
 		return
 	}
+	demand := fleetplan.Demand{MaxVMs: s.Scaling.Max * len(s.Scaling.ZonePrices)}
+	demand.RequestsPerSecond, demand.Wanted = so.meter.VMs(found)
 	bounds := fleetplan.Bounds{MinPerZone: s.Scaling.Min, MaxPerZone: s.Scaling.Max}
 	for slot, want := range so.counter.Step(demand, bounds, offersOf(s.Scaling), have, now) {
 		o.send(ctx, h, name, so, slot, want, have[slot])
@@ -136,17 +155,12 @@
 	return out
 }
 
-// demand is the number of servers that have to be left with any one
-// availability zone gone, once it is known how many there were at first.
-func (o *orderer) demand(name string, s *site.Service) (fleetplan.Demand, bool) {
+// found returns how many servers of a service there were at first.
+func (o *orderer) found(name string) int {
 	d := o.node.duties
 	d.mu.Lock()
-	found := d.machine.State().Sizes[name]
-	d.mu.Unlock()
-	return fleetplan.Demand{
-		RequestsPerSecond: float64(found),
-		MaxVMs:            s.Scaling.Max * len(s.Scaling.ZonePrices),
-	}, found > 0
+	defer d.mu.Unlock()
+	return d.machine.State().Sizes[name]
 }
 
 // send orders a number of servers where it differs from what was ordered last,
