--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -179,7 +179,7 @@
 func (f *follower) restart(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	items, end, err := f.node.platform.Newest(ctx, f.topic)
+	items, end, err := f.newest(ctx)
 	if err != nil {
 		return err
 	}
@@ -195,6 +195,26 @@
 	return nil
 }
 
+// newest returns the newest record of each key, and an offset before which none
+// is missing. The store may count a record in the end that it tells while the
+// items beside it are older; then the items are read again.
+func (f *follower) newest(ctx context.Context) ([]platform.Item, uint64, error) {
+	items, end, err := f.node.platform.Newest(ctx, f.topic)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, it := range items {
+		if it.Offset+1 >= end {
+			return items, end, nil
+		}
+	}
+	if end == 0 {
+		return items, end, nil
+	}
+	items, _, err = f.node.platform.Newest(ctx, f.topic)
+	return items, end, err
+}
+
 // dropped returns the end of each key that is no longer there, as of an offset.
 func (f *follower) dropped(present map[string]bool, end uint64) []relayapi.Record {
 	f.mu.Lock()
