Relay: tell of keys dropped before the sender started

Cause: a VM that has read the newest record of each key has no record of those dropped before, and told its peers only what it had; they kept using servers that had left. Change: such a reply holds all keys and says so. Also here: version moves, stand-ins of the platform, tests of the whole path.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -97,6 +97,7 @@
 	Loads       []Load
 	Quotas      []Quota
 	Work        []Work
+	Moves       []Move
 }
 
 // Core is one VM's view. It is not safe for use from many goroutines.
@@ -227,7 +228,7 @@
 		for _, w := range d.Work {
 			p.work.take(w.Service, w.Millis)
 		}
-		return News{Key: d.VM, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work}, true
+		return News{Key: d.VM, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work, Moves: d.Moves}, true
 	case Zone:
 		p.zone, p.zoneAt = d, now
 		zone := d.AvailabilityZone
@@ -243,7 +244,7 @@
 		for _, w := range d.Work {
 			p.work.take(w.Service, w.Millis)
 		}
-		return News{Key: "zone:" + zone, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work}, true
+		return News{Key: "zone:" + zone, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work, Moves: d.Moves}, true
 	}
 	if c.hasSubscribers(now) {
 		return News{}, true
@@ -255,7 +256,7 @@
 		c.view = d.PeerAddress
 	}
 	c.viewAt, c.count = now, d.Count+1
-	return News{Key: "all", Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work}, true
+	return News{Key: "all", Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work, Moves: d.Moves}, true
 }
 
 // subscribers are the VMs of the zone that tell this one what they do.
--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -62,6 +62,19 @@
 	Work    []Work
 	Usage   []Usage
 	Members []Member
+	Moves   []Move
+}
+
+// Move is what the sender knows of a service's move to another version. The
+// evidence is a sum like the loads are.
+type Move struct {
+	Service uint32
+	Order   uint64
+	Phase   int
+	New     uint64
+	NewBad  uint64
+	Old     uint64
+	OldBad  uint64
 }
 
 // Load is work on one backend server, by the server's hash.
--- a/internal/coordination/gossip/tell.go
+++ b/internal/coordination/gossip/tell.go
@@ -106,11 +106,12 @@
 	loads  map[uint32]Load
 	quotas map[uint32]uint64
 	work   map[uint32]uint64
+	moves  map[uint32]Move
 	count  int
 }
 
 func newTotal() *total {
-	return &total{loads: map[uint32]Load{}, quotas: map[uint32]uint64{}, work: map[uint32]uint64{}}
+	return &total{loads: map[uint32]Load{}, quotas: map[uint32]uint64{}, work: map[uint32]uint64{}, moves: map[uint32]Move{}}
 }
 
 func (t *total) addLoads(loads []Load) {
@@ -120,6 +121,25 @@
 	}
 }
 
+// addMoves adds evidence about the newest order of each service.
+func (t *total) addMoves(moves []Move) {
+	for _, m := range moves {
+		x, ok := t.moves[m.Service]
+		if ok && x.Order > m.Order {
+			continue
+		}
+		if x.Order < m.Order {
+			x = Move{Service: m.Service, Order: m.Order}
+		}
+		x.Phase = max(x.Phase, m.Phase)
+		x.New += m.New
+		x.NewBad += m.NewBad
+		x.Old += m.Old
+		x.OldBad += m.OldBad
+		t.moves[m.Service] = x
+	}
+}
+
 func (t *total) addSums(p *peer) {
 	for k, v := range p.quotas.all {
 		t.quotas[k] += v
@@ -131,6 +151,7 @@
 
 func (t *total) addOwn(own *Digest) {
 	t.addLoads(own.Loads)
+	t.addMoves(own.Moves)
 	for _, q := range own.Quotas {
 		t.quotas[q.Workspace] += q.Total
 	}
@@ -144,8 +165,11 @@
 func (t *total) digest(own *Digest, kind Kind, without *peer) *Digest {
 	d := *own
 	d.Kind, d.Usage, d.Members = kind, nil, nil
-	d.Loads, d.Quotas, d.Work = nil, nil, nil
+	d.Loads, d.Quotas, d.Work, d.Moves = nil, nil, nil, nil
 	d.Count = t.count
+	for _, m := range t.moves {
+		d.Moves = append(d.Moves, without.lessOwn(m))
+	}
 	less := map[uint32]Load{}
 	if without != nil {
 		d.Count--
@@ -183,15 +207,33 @@
 	t.addOwn(own)
 	for _, p := range subscribers {
 		t.addLoads(p.own.Loads)
+		t.addMoves(p.own.Moves)
 		t.addSums(p)
 		t.count++
 	}
 	return t.digest(own, Zone, nil)
 }
 
+// lessOwn takes a VM's own evidence out of a sum.
+func (p *peer) lessOwn(m Move) Move {
+	if p == nil {
+		return m
+	}
+	for _, x := range p.own.Moves {
+		if x.Service == m.Service && x.Order == m.Order {
+			m.New -= min(x.New, m.New)
+			m.NewBad -= min(x.NewBad, m.NewBad)
+			m.Old -= min(x.Old, m.Old)
+			m.OldBad -= min(x.OldBad, m.OldBad)
+		}
+	}
+	return m
+}
+
 func (c *Core) tellSubscribers(own, zone *Digest, subscribers []*peer, now time.Time) []Message {
 	t := newTotal()
 	t.addLoads(zone.Loads)
+	t.addMoves(zone.Moves)
 	for _, q := range zone.Quotas {
 		t.quotas[q.Workspace] += q.Total
 	}
@@ -202,6 +244,7 @@
 	for _, source := range c.zoneSource {
 		if p := c.peers[source]; p != nil && c.fresh(p.zoneAt, now) {
 			t.addLoads(p.zone.Loads)
+			t.addMoves(p.zone.Moves)
 			t.addSums(p)
 			t.count += p.zone.Count
 		}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -26,6 +26,7 @@
 	out  io.Writer
 	wake chan struct{}
 	stop chan struct{}
+	once sync.Once
 	done chan struct{}
 
 	// mu is a leaf: nothing else is locked while it is held.
@@ -78,7 +79,7 @@
 
 // Close writes what waits and ends.
 func (l *Logger) Close() {
-	close(l.stop)
+	l.once.Do(func() { close(l.stop) })
 	<-l.done
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,6 +22,8 @@
 // attemptState is what a request's attempts have come to.
 type attemptState struct {
 	random *rand.Rand
+	// draw decides whether a move's trial gets the request.
+	draw float64
 	// tried are the servers that are not to be chosen again.
 	tried map[string]bool
 	// sends counts the servers that the request has reached, ran those that
@@ -102,6 +104,7 @@
 // run sends the request to backend servers until it has its final answer.
 func (q *request) run() {
 	q.tried = map[string]bool{}
+	q.draw = q.random.Float64()
 	q.lastEvent = -1
 	defer q.settle()
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
@@ -148,6 +151,7 @@
 		return true
 	}
 	e := q.attempt(ctx, p)
+	n.moves.answered(&p.server.info, e)
 	n.metrics.attempts.WithLabelValues(q.service, e.String()).Inc()
 	q.trail += p.server.info.ID + ":" + e.String() + ","
 	return q.after(p, e)
@@ -186,6 +190,7 @@
 
 func (q *request) want() *wanted {
 	w := &wanted{service: q.service, zone: q.node.set.AvailabilityZone, avoid: q.tried}
+	w.prefer = q.node.moves.side(q.service, q.draw)
 	if !q.call.HasTokens {
 		return w
 	}
@@ -458,17 +463,15 @@
 const closeWait = 2 * time.Second
 
 // closeIfAsked makes sure that an answer has left before the library closes a
-// connection whose caller asked for it or was told so.
+// connection whose caller asked for it.
 func (q *request) closeIfAsked() {
-	if q.node.draining.Load() {
-		q.r.Close = true
+	if !q.r.Close {
+		return
 	}
-	if q.r.Close {
-		if f, ok := q.w.(http.Flusher); ok {
-			f.Flush()
-		}
-		httpserver.AwaitWritten(q.w, closeWait)
+	if f, ok := q.w.(http.Flusher); ok {
+		f.Flush()
 	}
+	httpserver.AwaitWritten(q.w, closeWait)
 }
 
 func (q *request) done(outcome, reason string, status int) {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -226,7 +226,9 @@
 	parts   []platform.Part
 	zone    string
 	avoid   map[string]bool
-	allowed func(s *site.Server) bool
+	// prefer tells which servers are of the version that the request goes to,
+	// nil where any is. Others are used only if forced allows it.
+	prefer versionChoice
 }
 
 // choose picks a server and counts the attempt on it, nil where there is none.
@@ -255,7 +257,7 @@
 	var open, full, fading []*backend
 	for _, b := range t.byService[w.service] {
 		switch {
-		case w.avoid[b.info.ID] || b.info.Leaving || w.allowed != nil && !w.allowed(&b.info):
+		case w.avoid[b.info.ID] || b.info.Leaving || !w.prefer.allows(&b.info):
 		case !b.goneAt.IsZero():
 			if now.Sub(b.goneAt) < goneUse {
 				fading = append(fading, b)
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -43,7 +43,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB) * megabyte))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	n, err := Start(set)
+	n, err := Start(set, os.Stdout)
 	if err != nil {
 		return &app.CodeError{Code: app.ExitFailed, Err: err}
 	}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -106,6 +106,7 @@
 	if holder, ok := d.holder(); ok {
 		d.reportUsage(ctx, holder)
 		d.orders.step(ctx, holder)
+		d.node.moves.step(ctx)
 	}
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -48,6 +48,8 @@
 	mu      sync.Mutex
 	records map[string]relayapi.Record
 	from    uint64
+	// base is where this VM began to read every record.
+	base uint64
 
 	// The fields below are used by the loop alone.
 	fresh   bool
@@ -152,23 +154,48 @@
 		f.node.log.Failure("store", "relay-failed", "topic", f.topic, "peer", address, "error", err)
 		return false
 	}
-	for _, r := range reply.Records {
-		f.take(r)
-	}
-	f.node.log.Event("store", "relayed", "topic", f.topic, "peer", address, "records", len(reply.Records), "from", from, "end", reply.End)
+	f.takeReply(reply)
+	f.node.log.Event("store", "relayed", "topic", f.topic, "peer", address, "records", len(reply.Records), "full", reply.Full, "from", from, "end", reply.End)
 	f.setEnd(reply.End)
 	f.fresh = true
 	f.node.contact.touch(f.topic, f.node.now())
 	return reply.End > from
 }
 
-// since returns the newest record of each key that changed from an offset on.
+// takeReply applies what a peer has told.
+func (f *follower) takeReply(reply *relayapi.RecordsReply) {
+	if reply.Full {
+		f.takeAll(reply.Records, reply.End)
+		return
+	}
+	for _, r := range reply.Records {
+		f.take(r)
+	}
+}
+
+// takeAll applies all keys that there are at an offset.
+func (f *follower) takeAll(records []relayapi.Record, end uint64) {
+	present := make(map[string]bool, len(records))
+	for _, r := range records {
+		present[r.Key] = true
+		f.take(r)
+	}
+	for _, r := range f.dropped(present, end) {
+		f.take(r)
+	}
+	f.mu.Lock()
+	f.base = max(f.base, end)
+	f.mu.Unlock()
+}
+
+// since returns the newest record of each key that changed from an offset on,
+// or all keys where this VM has not read every record since then.
 func (f *follower) since(from uint64) *relayapi.RecordsReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &relayapi.RecordsReply{End: f.from}
+	reply := &relayapi.RecordsReply{End: f.from, Full: from < f.base}
 	for _, r := range f.records {
-		if r.Offset >= from && (len(r.Value) > 0 || from > 0) {
+		if reply.Full && len(r.Value) > 0 || !reply.Full && r.Offset >= from {
 			reply.Records = append(reply.Records, r)
 		}
 	}
@@ -183,14 +210,11 @@
 	if err != nil {
 		return err
 	}
-	present := make(map[string]bool, len(items))
+	records := make([]relayapi.Record, 0, len(items))
 	for _, it := range items {
-		present[it.Key] = true
-		f.take(relayapi.Record{Key: it.Key, Value: it.Value, Offset: it.Offset})
-	}
-	for _, r := range f.dropped(present, end) {
-		f.take(r)
+		records = append(records, relayapi.Record{Key: it.Key, Value: it.Value, Offset: it.Offset})
 	}
+	f.takeAll(records, end)
 	f.setEnd(end)
 	return nil
 }
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,619 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
+	"coltsfootpath.example/coltsfootpath/platform"
+	"coltsfootpath.example/coltsfootpath/platform/platformtest"
+)
+
+// testTimeout ends a wait that hangs.
+const testTimeout = 20 * time.Second
+
+// document is what the operator writes in these tests. The routes' paths say
+// what they are.
+const document = `{"version":%d,"routes":[
+{"name":"r-once","host":"a.example","pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":3000,"latencyTargetMs":500,"service":"s","maxAttempts":1},
+{"name":"r-again","host":"a.example","pathPrefix":"/again/","kind":"idempotent","timeoutMs":3000,"latencyTargetMs":100,"service":"s","maxAttempts":2},
+{"name":"r-deep","host":"a.example","pathPrefix":"/again/deep/","kind":"non_idempotent","timeoutMs":3000,"latencyTargetMs":100,"service":"s","maxAttempts":1},
+{"name":"r-stream","host":"a.example","pathPrefix":"/stream/","kind":"stream","resumable":true,"gapAimMs":300,"timeoutMs":3000,"latencyTargetMs":300,"service":"s","maxAttempts":2},
+{"name":"r-fixed","host":"a.example","pathPrefix":"/fixedstream/","kind":"stream","gapAimMs":300,"timeoutMs":3000,"latencyTargetMs":300,"service":"s","maxAttempts":1},
+{"name":"r-public","host":"a.example","pathPrefix":"/public/","kind":"idempotent","timeoutMs":3000,"service":"s","maxAttempts":1,"public":true}],
+"services":[{"name":"s","healthPath":"/healthz","maxConns":100}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4096,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"w","apiKeys":["key-w"],"priority":1,"unit":"tokens","plainTokens":10,"ratePerS":0,"burst":0},
+{"name":"small","apiKeys":["key-small"],"unit":"tokens","plainTokens":10,"ratePerS":10,"burst":20}]}`
+
+// fixture is a store with backend servers and entry VMs.
+type fixture struct {
+	t     *testing.T
+	store *platformtest.Store
+	out   *lines
+}
+
+// lines gathers what the entry VMs write.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) has(parts ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(l.text.String()) {
+		found := true
+		for _, p := range parts {
+			found = found && strings.Contains(line, p)
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, store: platformtest.NewStore(), out: &lines{}}
+	t.Cleanup(f.store.Close)
+	f.document(1)
+	return f
+}
+
+func (f *fixture) document(version int) {
+	f.store.Put(platform.OperatorTopic, platform.DocumentKey, fmt.Appendf(nil, document, version))
+}
+
+// server adds a backend server.
+func (f *fixture) server(id string, decide func(n int, r platformtest.Run) platformtest.Ending) *platformtest.Server {
+	s := platformtest.NewServer(id, decide)
+	f.t.Cleanup(s.Close)
+	f.store.Put(platform.ServersTopic, id, s.Entry("s", "zone-a", "ready"))
+	return s
+}
+
+func always(e platformtest.Ending) func(int, platformtest.Run) platformtest.Ending {
+	return func(int, platformtest.Run) platformtest.Ending { return e }
+}
+
+// freeAddresses returns loopback addresses that nothing listens on.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	var out []string
+	var listeners []net.Listener
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		out = append(out, l.Addr().String())
+	}
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	return out
+}
+
+func (f *fixture) settings(vm string) Settings {
+	a := freeAddresses(f.t, 5)
+	var set Settings
+	set.Schema()
+	set.VM, set.AvailabilityZone, set.Region = vm, "zone-a", "region"
+	set.Callers, set.Ready, set.Directory, set.Peers, set.Metrics = a[0], a[1], a[2], a[3], a[4]
+	set.Store, set.Cloud = f.store.Address(), f.store.Address()
+	return set
+}
+
+// node starts an entry VM and waits until it knows so many servers.
+func (f *fixture) node(vm string, servers int) *Node {
+	f.t.Helper()
+	n, err := Start(f.settings(vm), f.out)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(n.Close)
+	f.eventually("ready", func() bool { return n.Ready() && n.backends.count() == servers })
+	return n
+}
+
+func (f *fixture) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("never: %s", what)
+}
+
+// call is a request of a caller.
+type call struct {
+	method, path, key, id, body string
+	header                      map[string]string
+}
+
+func (c call) request(t *testing.T, ctx context.Context, n *Node) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, c.method, "http://"+n.set.Callers+c.path, strings.NewReader(c.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Coltsfootpath-Request-Id", c.id)
+	r.Header.Set("Coltsfootpath-Deadline-Ms", "2500")
+	if c.key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	for k, v := range c.header {
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// do sends a call over a connection of its own.
+func do(t *testing.T, n *Node, c call) reply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(c.request(t, ctx, n))
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(body), err}
+}
+
+func TestAnAnswerComesBackUnchanged(t *testing.T) {
+	f := newFixture(t)
+	s := f.server("s-1", nil)
+	n := f.node("vm-1", 1)
+	got := do(t, n, call{method: "POST", path: "/again/x%2Fy//z?q=%20", key: "key-w", id: "id-1", body: "some body"})
+	if got.status != http.StatusOK || got.body != "answer of s-1 to id-1" || got.header.Get("Coltsfootpath-Engine-Seal") != "seal-s-1" {
+		t.Fatalf("got %+v", got)
+	}
+	run := s.Runs()[0]
+	if run.Target != "/again/x%2Fy//z?q=%20" || run.Body != "some body" || run.Method != "POST" {
+		t.Errorf("the server got %+v", run)
+	}
+	if run.Header.Get("Coltsfootpath-Tenant") != "w" || run.Header.Get("Authorization") != "" {
+		t.Errorf("headers %v", run.Header)
+	}
+}
+
+func TestHeadersThatAreTheSystemsToSetAreDropped(t *testing.T) {
+	f := newFixture(t)
+	s := f.server("s-1", nil)
+	n := f.node("vm-1", 1)
+	sent := map[string]string{
+		"Coltsfootpath-Kv-Hold": "1", "Coltsfootpath-Pin-Ms": "1", "Coltsfootpath-Kv-Backup": "1", "Kv-From": "1", "Kv-Fetch": "1",
+		"Coltsfootpath-Tenant": "other", "Coltsfootpath-Expect-Version": "9", "Coltsfootpath-Request-Priority": "0",
+		"X-Own": "kept", "X-Hop": "dropped", "Connection": "X-Hop",
+	}
+	do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: "id-1", header: sent})
+	got := s.Runs()[0].Header
+	for name := range sent {
+		if value := got.Get(name); value == sent[name] && name != "X-Own" {
+			t.Errorf("%s: %q reached the server", name, value)
+		}
+	}
+	if got.Get("X-Own") != "kept" || got.Get("Coltsfootpath-Expect-Engine") != "s-1" {
+		t.Errorf("headers %v", got)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := newFixture(t)
+	s := f.server("s-1", nil)
+	n := f.node("vm-1", 1)
+	for _, c := range []struct {
+		name   string
+		call   call
+		status int
+	}{
+		{"no route", call{method: "GET", path: "/none/", key: "key-w"}, http.StatusNotFound},
+		{"no key", call{method: "GET", path: "/again/x"}, http.StatusUnauthorized},
+		{"wrong key", call{method: "GET", path: "/again/x", key: "other"}, http.StatusUnauthorized},
+		{"long body", call{method: "POST", path: "/again/x", key: "key-w", body: strings.Repeat("x", 5000)}, http.StatusRequestEntityTooLarge},
+		{"long head", call{method: "GET", path: "/again/x", key: "key-w", header: map[string]string{"X-Long": strings.Repeat("x", 20000)}}, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		if got := do(t, n, c.call); got.status != c.status {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+	if got := do(t, n, call{method: "GET", path: "/public/x"}); got.status != http.StatusOK {
+		t.Errorf("public: %+v", got)
+	}
+	if len(s.Runs()) != 1 {
+		t.Errorf("%d runs", len(s.Runs()))
+	}
+	f.eventually("line of the refusal", func() bool { return f.out.has("request refused", "reason=unknown-key", "status=401") })
+}
+
+// TestAHeadWithTwoLengthsEndsItsConnection sends a request that smuggles another
+// one, in the two ways that an edge and a server could read differently.
+func TestAHeadWithTwoLengthsEndsItsConnection(t *testing.T) {
+	f := newFixture(t)
+	s := f.server("s-1", nil)
+	n := f.node("vm-1", 1)
+	inner := "POST /once/inner HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key-w\r\nColtsfootpath-Request-Id: smuggled\r\nContent-Length: 0\r\n\r\n"
+	for _, lengths := range []string{
+		fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n", len(inner)),
+		fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", len(inner)),
+	} {
+		c, err := net.Dial("tcp", n.set.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := inner
+		if strings.Contains(lengths, "chunked") {
+			body = "0\r\n\r\n" + inner
+		}
+		fmt.Fprintf(c, "POST /again/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key-w\r\nColtsfootpath-Request-Id: outer\r\n%s\r\n%s", lengths, body)
+		_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+		data, _ := io.ReadAll(c)
+		if !strings.HasPrefix(string(data), "HTTP/1.1 400") || strings.Count(string(data), "HTTP/1.1") != 1 {
+			t.Errorf("%q: got %q", lengths, data)
+		}
+		c.Close()
+	}
+	for _, run := range s.Runs() {
+		t.Errorf("ran %+v", run)
+	}
+}
+
+func TestARepeatableRequestIsSentOnceMore(t *testing.T) {
+	for _, e := range []platformtest.Ending{platformtest.Fail, platformtest.Full, platformtest.CutHead, platformtest.CutEvent, platformtest.Silence, platformtest.Unsealed} {
+		f := newFixture(t)
+		first := func(n int, r platformtest.Run) platformtest.Ending { return e }
+		bad, good := f.server("bad", first), f.server("good", nil)
+		n := f.node("vm-1", 2)
+		for i := range 8 {
+			if got := do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: fmt.Sprint("id-", i)}); got.status != http.StatusOK || got.header.Get("Coltsfootpath-Engine-Seal") != "seal-good" {
+				t.Errorf("ending %d: %+v", e, got)
+			}
+		}
+		if len(good.Runs()) != 8 {
+			t.Errorf("ending %d: %d runs at the good server, %d at the bad one", e, len(good.Runs()), len(bad.Runs()))
+		}
+	}
+}
+
+// TestARequestThatMustNotRunTwiceDoesNot meets each way in which a server can
+// leave it open whether it has run.
+func TestARequestThatMustNotRunTwiceDoesNot(t *testing.T) {
+	for _, e := range []platformtest.Ending{platformtest.Fail, platformtest.CutHead, platformtest.CutEvent, platformtest.Unsealed} {
+		f := newFixture(t)
+		a, b := f.server("a", always(e)), f.server("b", always(e))
+		n := f.node("vm-1", 2)
+		got := do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-1", body: "x"})
+		if runs := len(a.Runs()) + len(b.Runs()); runs != 1 {
+			t.Errorf("ending %d: %d runs", e, runs)
+		}
+		want := http.StatusBadGateway
+		if e == platformtest.Fail {
+			want = http.StatusInternalServerError
+		}
+		if got.status != want {
+			t.Errorf("ending %d: %+v", e, got)
+		}
+	}
+}
+
+// TestARefusalThatSaysNotRunIsTrue: all servers are full.
+func TestARefusalThatSaysNotRunIsTrue(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.server("a", always(platformtest.Full)), f.server("b", always(platformtest.Full))
+	n := f.node("vm-1", 2)
+	got := do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-1", body: "x"})
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || len(a.Runs())+len(b.Runs()) != 0 {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		b.WriteString(platformtest.Event(i))
+	}
+	return b.String()
+}
+
+// TestAResumableStreamGoesOnElsewhere cuts the first run in the middle of its
+// second event: the caller gets each event once, under the first head.
+func TestAResumableStreamGoesOnElsewhere(t *testing.T) {
+	f := newFixture(t)
+	first := func(_ int, r platformtest.Run) platformtest.Ending {
+		if r.LastEvent < 0 {
+			return platformtest.CutEvent
+		}
+		return platformtest.Whole
+	}
+	a, b := f.server("a", first), f.server("b", first)
+	n := f.node("vm-1", 2)
+	got := do(t, n, call{method: "POST", path: "/stream/x", key: "key-w", id: "id-1", body: "x"})
+	if got.err != nil || got.status != http.StatusOK || got.body != events(1, platformtest.Events) {
+		t.Fatalf("got %+v", got)
+	}
+	runs := append(a.Runs(), b.Runs()...)
+	if len(runs) != 2 || runs[0].LastEvent+runs[1].LastEvent != 0 {
+		t.Errorf("runs %+v", runs)
+	}
+}
+
+// TestABrokenStreamDoesNotLookWhole: a stream that may not be resumed is cut.
+func TestABrokenStreamDoesNotLookWhole(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.server("a", always(platformtest.CutEvent)), f.server("b", always(platformtest.CutEvent))
+	n := f.node("vm-1", 2)
+	got := do(t, n, call{method: "POST", path: "/fixedstream/x", key: "key-w", id: "id-1", body: "x"})
+	if got.err == nil {
+		t.Errorf("the answer looks whole: %+v", got)
+	}
+	if got.body != events(1, 1) || len(a.Runs())+len(b.Runs()) != 1 {
+		t.Errorf("got %q", got.body)
+	}
+}
+
+// TestAnExtraAnswerIsNobodys keeps a connection to a server that answers twice.
+func TestAnExtraAnswerIsNobodys(t *testing.T) {
+	f := newFixture(t)
+	f.server("s-1", always(platformtest.Extra))
+	n := f.node("vm-1", 1)
+	for i := range 30 {
+		id := fmt.Sprint("id-", i)
+		got := do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: id})
+		if got.status != http.StatusOK || got.body != "answer of s-1 to "+id {
+			t.Fatalf("%s: %+v", id, got)
+		}
+	}
+}
+
+func TestAnAnswerWithoutLengthIsWhole(t *testing.T) {
+	f := newFixture(t)
+	f.server("s-1", always(platformtest.Unframed))
+	n := f.node("vm-1", 1)
+	if got := do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: "i"}); got.status != http.StatusOK || got.body != "answer of s-1 to i" {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+func TestACallersLeavingEndsItsRun(t *testing.T) {
+	f := newFixture(t)
+	s := f.server("s-1", always(platformtest.Silence))
+	n := f.node("vm-1", 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		f.eventually("run", func() bool { return len(s.Runs()) == 1 })
+		cancel()
+	}()
+	c := call{method: "POST", path: "/once/x", key: "key-w", id: "id-1", body: "x"}
+	if _, err := http.DefaultClient.Do(c.request(t, ctx, n)); err == nil {
+		t.Fatal("answered")
+	}
+	f.eventually("the server's connection closed", func() bool { return s.Left() == 1 })
+}
+
+// TestTimeoutGivesAFinalAnswer: nothing is said to have not run that was sent.
+func TestTimeoutGivesAFinalAnswer(t *testing.T) {
+	f := newFixture(t)
+	f.server("s-1", always(platformtest.Silence))
+	n := f.node("vm-1", 1)
+	got := do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-1", header: map[string]string{"Coltsfootpath-Deadline-Ms": "300"}})
+	if got.status != http.StatusGatewayTimeout {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+func TestQuotaRefusesWithATime(t *testing.T) {
+	f := newFixture(t)
+	f.server("s-1", nil)
+	n := f.node("vm-1", 1)
+	refused := 0
+	for i := range 6 {
+		got := do(t, n, call{method: "GET", path: "/again/x", key: "key-small", id: fmt.Sprint(i)})
+		if got.status == http.StatusTooManyRequests {
+			refused++
+			if got.header.Get("Retry-After") == "" {
+				t.Error("no time to come back at")
+			}
+		}
+	}
+	if refused < 3 {
+		t.Errorf("%d of 6 refused", refused)
+	}
+}
+
+func TestALeavingServerGetsNothingNew(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.server("a", nil), f.server("b", nil)
+	n := f.node("vm-1", 2)
+	f.store.Put(platform.ServersTopic, "a", a.Entry("s", "zone-a", "draining"))
+	f.eventually("leaving", func() bool { return f.out.has("servers entry", "server=a", "leaving=true") })
+	for i := range 20 {
+		do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: fmt.Sprint(i)})
+	}
+	if len(a.Runs()) != 0 || len(b.Runs()) != 20 {
+		t.Errorf("%d and %d runs", len(a.Runs()), len(b.Runs()))
+	}
+}
+
+// TestARecordBesideTheListingIsNotMissed: the store's listing lacks a record
+// that its end counts, as a listing that is put together while a record comes.
+func TestARecordBesideTheListingIsNotMissed(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	b := platformtest.NewServer("b", nil)
+	t.Cleanup(b.Close)
+	f.store.Put(platform.ServersTopic, "b", b.Entry("s", "zone-a", "ready"))
+	f.store.HideOnce("b")
+	f.node("vm-1", 2)
+}
+
+func TestForeignEntriesChangeNothing(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	for i, text := range []string{`{`, `{"service":5}`, `{"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,"state":"odd"}`, `null`, `[]`} {
+		f.store.Put(platform.ServersTopic, fmt.Sprint("foreign-", i), []byte(text))
+	}
+	n := f.node("vm-1", 1)
+	f.store.Put(platform.ServersTopic, "a", []byte(`{"service":7}`))
+	f.eventually("the entries are told of", func() bool {
+		return f.out.has("servers unreadable", "server=foreign-4") && f.out.has("servers unreadable", "server=a")
+	})
+	if n.backends.count() != 1 {
+		t.Errorf("%d servers", n.backends.count())
+	}
+}
+
+// TestAVMThatTheStoreRefusesLearnsFromAPeer: the store refuses everyone once the
+// first VM has read a new document; the second VM starts after that.
+func TestAVMThatTheStoreRefusesLearnsFromAPeer(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	first := f.node("vm-1", 1)
+	f.store.Refuse(http.StatusServiceUnavailable)
+	second, err := Start(f.settings("vm-2"), f.out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(second.Close)
+	second.members.know(first.members.identity())
+	f.eventually("the second VM is ready", second.Ready)
+	if got := do(t, second, call{method: "GET", path: "/again/x", key: "key-w", id: "i"}); got.status != http.StatusOK {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestARelayTellsOfKeysDroppedBeforeItsSenderStarted: a VM that has read the
+// newest record of each key can't list what was dropped before. Hunts found
+// servers that stayed in use so after all VMs had started again.
+func TestARelayTellsOfKeysDroppedBeforeItsSenderStarted(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	b := f.server("b", nil)
+	old := f.node("vm-1", 2)
+	f.store.Refuse(http.StatusServiceUnavailable)
+	f.eventually("the store is away", func() bool { return f.out.has("store lost", "keyed.servers") })
+	f.store.Put(platform.ServersTopic, "a", nil)
+	f.store.Put(platform.ServersTopic, "b", b.Entry("s", "zone-a", "ready"))
+	fresh := newFollower(old, platform.ServersTopic, 0, func(string, []byte, uint64) {})
+	fresh.takeAll([]relayapi.Record{{Key: "b", Value: b.Entry("s", "zone-a", "ready"), Offset: 3}}, 4)
+	fresh.from = 4
+	reply := fresh.since(old.servers.end())
+	old.servers.takeReply(reply)
+	f.eventually("the dropped server is gone", func() bool { return f.out.has("servers gone", "server=a") })
+}
+
+func TestTrimmedHistoryIsReadAnew(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	n := f.node("vm-1", 1)
+	f.store.Refuse(http.StatusServiceUnavailable)
+	f.eventually("the store is away", func() bool { return f.out.has("store lost") })
+	f.document(2)
+	f.store.Trim(platform.OperatorTopic)
+	f.store.Refuse(0)
+	f.eventually("the new document is in force", func() bool { return n.document.Load().Version == 2 })
+}
+
+func TestUsageIsReportedOnceByTheHolder(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	n := f.node("vm-1", 1)
+	n.set.UsageWindow = time.Second
+	m := f.node("vm-2", 1)
+	m.set.UsageWindow = time.Second
+	f.eventually("both know each other", func() bool { return n.members.count() == 2 && m.members.count() == 2 })
+	for i := range 12 {
+		node := n
+		if i%3 == 0 {
+			node = m
+		}
+		do(t, node, call{method: "GET", path: "/again/x", key: "key-w", id: fmt.Sprint(i)})
+	}
+	total := func() int {
+		sum := 0
+		for _, w := range f.store.Windows() {
+			reports := f.store.UsageOf(w)
+			for _, r := range reports {
+				if fmt.Sprint(r.Counts) != fmt.Sprint(reports[0].Counts) {
+					t.Errorf("window %d reported as %v and as %v", w, reports[0].Counts, r.Counts)
+				}
+			}
+			sum += reports[0].Counts["w"]
+		}
+		return sum
+	}
+	f.eventually("all requests are reported", func() bool { return total() == 12 })
+}
+
+func TestDrainServesOnAndEnds(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	n := f.node("vm-1", 1)
+	ended := make(chan error, 1)
+	go func() { ended <- n.Drain(context.Background()) }()
+	f.eventually("not ready", func() bool { return !n.Ready() })
+	got := do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: "i"})
+	if got.status != http.StatusOK {
+		t.Errorf("got %+v", got)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(testTimeout):
+		t.Fatal("the drain does not end")
+	}
+}
+
+func TestKeptConnectionsServeManyRequests(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", nil)
+	n := f.node("vm-1", 1)
+	c, err := net.Dial("tcp", n.set.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	reader := bufio.NewReader(c)
+	for i := range 20 {
+		fmt.Fprintf(c, "GET /again/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key-w\r\nColtsfootpath-Request-Id: id-%d\r\n\r\n", i)
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != fmt.Sprintf("answer of a to id-%d", i) {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -278,11 +278,12 @@
 		h.Set("Connection", "close")
 	}
 	q.markClosing()
+	h.Set("Content-Length", "0")
 	q.w.WriteHeader(ref.status)
 	q.log("refused", ref.reason, ref.status)
 	n.metrics.requests.WithLabelValues(q.routeName(), "refused-"+ref.reason).Inc()
 	if ref.closes {
-		httpserver.CloseAfterAnswer(q.w, q.r)
+		httpserver.CloseAfterAnswer(q.w, closeWait)
 	}
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -49,15 +49,21 @@
 }
 
 func newMembers(n *Node) *members {
-	self := gossip.Identity{
-		VM:               n.set.VM,
-		Incarnation:      n.incarnation,
-		AvailabilityZone: n.set.AvailabilityZone,
-		PeerAddress:      n.set.Peers,
-		CallerAddress:    n.set.Callers,
-		Capacity:         int(n.set.LinkMbps),
-	}
-	return &members{node: n, core: gossip.New(gossip.DefaultConfig, self), early: make(chan struct{}, 1)}
+	m := &members{node: n, early: make(chan struct{}, 1)}
+	m.core = gossip.New(gossip.DefaultConfig, m.identity())
+	return m
+}
+
+func (m *members) identity() gossip.Identity {
+	set := &m.node.set
+	return gossip.Identity{
+		VM:               set.VM,
+		Incarnation:      m.node.incarnation,
+		AvailabilityZone: set.AvailabilityZone,
+		PeerAddress:      set.Peers,
+		CallerAddress:    set.Callers,
+		Capacity:         int(set.LinkMbps),
+	}
 }
 
 func (m *members) listen() error {
@@ -251,6 +257,7 @@
 	for name, total := range n.quota.Totals() {
 		d.Quotas = append(d.Quotas, gossip.Quota{Workspace: shortHash(name), Total: total})
 	}
+	d.Moves = n.moves.tell()
 	if m.sequence%usageEvery == 0 || d.Draining {
 		m.addUsage(&d, now)
 	}
@@ -312,6 +319,7 @@
 		return
 	}
 	n.backends.hearLoads(news.Key, news.Loads, now)
+	n.moves.hear(news.Key, news.Moves, now)
 	n.quota.Hear(news.Key, news.Source+"/"+time.UnixMilli(int64(news.Incarnation)).UTC().Format(time.RFC3339Nano), m.quotaTotals(news.Quotas), now)
 	n.work.hear(news.Key, news.Source, news.Incarnation, news.Work)
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -7,8 +7,8 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -86,6 +86,7 @@
 	contact  *contact
 	clock    *wallClock
 	work     *workMeter
+	moves    *versionMoves
 
 	open      atomic.Int64
 	draining  atomic.Bool
@@ -99,9 +100,10 @@
 	loops  sync.WaitGroup
 }
 
-// Start brings up an entry VM and returns when it listens.
-func Start(set Settings) (*Node, error) {
-	n := newNode(set)
+// Start brings up an entry VM and returns when it listens. Its lines are written
+// to out.
+func Start(set Settings, out io.Writer) (*Node, error) {
+	n := newNode(set, out)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		n.Close()
@@ -112,11 +114,11 @@
 	return n, nil
 }
 
-func newNode(set Settings) *Node {
+func newNode(set Settings, out io.Writer) *Node {
 	n := &Node{
 		set:         set,
 		incarnation: max(uint64(time.Now().UnixMilli()), 1),
-		log:         eventlog.New(os.Stdout),
+		log:         eventlog.New(out),
 		metrics:     newMetrics(),
 		contact:     newContact(),
 		clock:       newWallClock(),
@@ -136,6 +138,7 @@
 	n.servers = newFollower(n, platform.ServersTopic, serversPause, n.applyServer)
 	n.pool = peer.NewPool()
 	n.duties = newDuties(n)
+	n.moves = newVersionMoves(n)
 	n.retries = newRetryBudgets(retry.Config{
 		Ratio:   set.RetryRatio * retryShare,
 		Reserve: float64(set.RetrySlack) * retryShare,
@@ -214,7 +217,7 @@
 	case key == platform.DocumentKey && value != nil:
 		n.applyDocument(value, offset)
 	case strings.HasPrefix(key, platform.MoveKeyPrefix):
-		n.log.Event("moves", "order", "key", key, "offset", offset)
+		n.moves.order(key, value, offset)
 	}
 }
 
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -34,6 +34,7 @@
 	fieldQuota
 	fieldUsage
 	fieldMember
+	fieldMove
 )
 
 const (
@@ -99,6 +100,15 @@
 		inner = text(inner, 2, u.Workspace)
 		b = group(b, fieldUsage, number(inner, 3, uint64(u.Count)))
 	}
+	for _, m := range d.Moves {
+		inner = number(inner[:0], 1, uint64(m.Service))
+		inner = number(inner, 2, m.Order)
+		inner = number(inner, 3, uint64(m.Phase))
+		inner = number(inner, 4, m.New)
+		inner = number(inner, 5, m.NewBad)
+		inner = number(inner, 6, m.Old)
+		b = group(b, fieldMove, number(inner, 7, m.OldBad))
+	}
 	for i := range d.Members {
 		b = group(b, fieldMember, appendMember(inner[:0], &d.Members[i], false))
 	}
@@ -226,7 +236,7 @@
 		d.Members = append(d.Members, m)
 		return err
 	}
-	var v [5]uint64
+	var v [8]uint64
 	var s string
 	err := fields(bytes, func(n protowire.Number, x uint64, text []byte) {
 		if n >= 1 && int(n) < len(v) {
@@ -243,6 +253,11 @@
 		d.Loads = append(d.Loads, gossip.Load{Server: uint32(v[1]), Prefill: bounded(v[2]) * prefillUnit, Running: bounded(v[3]), Memory: bounded(v[4]) * memoryUnit})
 	case fieldQuota:
 		d.Quotas = append(d.Quotas, gossip.Quota{Workspace: uint32(v[1]), Total: v[2]})
+	case fieldMove:
+		d.Moves = append(d.Moves, gossip.Move{
+			Service: uint32(v[1]), Order: v[2], Phase: int(bounded(v[3])),
+			New: bounded(v[4]), NewBad: bounded(v[5]), Old: bounded(v[6]), OldBad: bounded(v[7]),
+		})
 	case fieldUsage:
 		d.Usage = append(d.Usage, gossip.Usage{Window: int64(v[1]), Workspace: s, Count: int(bounded(v[3]))})
 	}
--- a/internal/protocol/relayapi/relayapi.go
+++ b/internal/protocol/relayapi/relayapi.go
@@ -32,6 +32,9 @@
 type RecordsReply struct {
 	Records []Record `json:"records"`
 	End     uint64   `json:"end"`
+	// Full is true where Records holds all keys that there are: the peer has not
+	// read all records since the offset, and can't tell which keys were dropped.
+	Full bool `json:"full,omitempty"`
 }
 
 // Server answers the calls.
--- a/internal/standin/logservice/log.go
+++ b/internal/standin/logservice/log.go
@@ -111,8 +111,20 @@
 	return s
 }
 
+// ErrMoved means that a stream does not end where a condition says.
+var ErrMoved = errors.New("stream has moved on")
+
 // Append adds records in order. It may fail after having taken effect.
 func (l *Log) Append(ctx context.Context, name string, records [][]byte) (uint64, error) {
+	return l.append(ctx, name, records, nil)
+}
+
+// AppendAt adds records only where the stream ends at an offset.
+func (l *Log) AppendAt(ctx context.Context, name string, records [][]byte, at uint64) (uint64, error) {
+	return l.append(ctx, name, records, &at)
+}
+
+func (l *Log) append(ctx context.Context, name string, records [][]byte, at *uint64) (uint64, error) {
 	if err := l.delay(ctx); err != nil {
 		return 0, err
 	}
@@ -124,6 +136,9 @@
 	l.appends++
 	s := l.stream(name)
 	first := s.first + uint64(len(s.records))
+	if at != nil && *at != first {
+		return 0, errors.Wrapf(ErrMoved, "ends at %d", first)
+	}
 	s.records = append(s.records, records...)
 	for len(s.records) > l.retain {
 		s.records = s.records[1:]
--- a/internal/transport/httpserver/conns.go
+++ b/internal/transport/httpserver/conns.go
@@ -122,9 +122,16 @@
 	}
 }
 
-// CloseAfterAnswer makes the server close the connection once the answer has
-// been written.
-func CloseAfterAnswer(_ http.ResponseWriter, r *http.Request) { r.Close = true }
+// CloseAfterAnswer sends what an answer holds and closes its connection. What
+// else has come on the connection is not handled. The answer's length must have
+// been set.
+func CloseAfterAnswer(w http.ResponseWriter, most time.Duration) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+	AwaitWritten(w, most)
+	Abort(w)
+}
 
 // AwaitWritten waits until the bytes of an answer have left this process, or
 // until the connection has closed or the time is over. The library closes a
--- a/internal/transport/httpserver/httpserver.go
+++ b/internal/transport/httpserver/httpserver.go
@@ -168,6 +168,10 @@
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		conn := connOf(w)
+		if isClosed(conn) {
+			// The request before it on the connection has ended this one too.
+			return
+		}
 		stopIdleClock(conn)
 		s.register(conn, &cancel)
 		defer s.unregister(conn, &cancel)
