--- /dev/null
+++ b/internal/coordination/fleetplan/counts_test.go
@@ -0,0 +1,179 @@
+package fleetplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_900_000_000, 0)
+
+var countBounds = Bounds{MinPerZone: 1, MaxPerZone: 6}
+
+func zoneOffers() []Offer {
+	var out []Offer
+	for i, price := range []int64{1000, 800, 1250, 900} {
+		zone := fmt.Sprint("zone-", i)
+		out = append(out,
+			Offer{Slot: Slot{AvailabilityZone: zone}, MicrosPerHour: price, Capacity: 1},
+			Offer{Slot: Slot{AvailabilityZone: zone, Reclaimable: true}, MicrosPerHour: price * 18 / 100, Capacity: 1})
+	}
+	return out
+}
+
+func onDemand(n int) Counts {
+	c := Counts{}
+	for _, o := range zoneOffers() {
+		if !o.Reclaimable {
+			c[o.Slot] = n
+		}
+	}
+	return c
+}
+
+func (c Counts) reclaimable() int {
+	n := 0
+	for slot, k := range c {
+		if slot.Reclaimable {
+			n += k
+		}
+	}
+	return n
+}
+
+// TestNewVMsComeBeforeOldOnesGo begins with on-demand VMs alone.
+func TestNewVMsComeBeforeOldOnesGo(t *testing.T) {
+	c := NewCounter(2 * time.Second)
+	d := Demand{RequestsPerSecond: 6, Wanted: 9, MaxVMs: 24}
+	serving := onDemand(3)
+	first := c.Step(d, countBounds, zoneOffers(), serving, epoch)
+	if first.reclaimable() == 0 || first.Total()-first.reclaimable() != 12 {
+		t.Fatalf("first %v", first)
+	}
+	for slot, n := range first {
+		if slot.Reclaimable {
+			serving[slot] = n
+		}
+	}
+	second := c.Step(d, countBounds, zoneOffers(), serving, epoch.Add(time.Second))
+	if second.Total() != second.reclaimable() {
+		t.Fatalf("second %v", second)
+	}
+}
+
+// TestAZonesReclaimIsMadeUpFor takes a zone's reclaimable VMs while none are to
+// be had anywhere: on-demand ones are ordered, and go once the others are back.
+func TestAZonesReclaimIsMadeUpFor(t *testing.T) {
+	c := NewCounter(2 * time.Second)
+	d := Demand{RequestsPerSecond: 8, MaxVMs: 24}
+	serving := Counts{}
+	for _, o := range zoneOffers() {
+		if o.Reclaimable && o.AvailabilityZone != "zone-0" {
+			serving[o.Slot] = 3
+		}
+	}
+	now := epoch
+	want := c.Step(d, countBounds, zoneOffers(), serving, now)
+	for slot, n := range want {
+		if slot.Reclaimable && n > serving[slot] {
+			c.Refused(slot, now)
+		}
+	}
+	for range 4 {
+		want = c.Step(d, countBounds, zoneOffers(), serving, now)
+		for slot, n := range want {
+			if slot.Reclaimable && n > serving[slot] {
+				c.Refused(slot, now)
+			}
+		}
+	}
+	if want.Total()-want.reclaimable() == 0 {
+		t.Fatalf("no on-demand VM is ordered: %v", want)
+	}
+	for slot, n := range want {
+		if !slot.Reclaimable {
+			serving[slot] = n
+		}
+	}
+	kept := serving.Total() - serving.reclaimable()
+	again := c.Step(d, countBounds, zoneOffers(), serving, now.Add(3*time.Second))
+	if again.Total()-again.reclaimable() < kept {
+		t.Fatalf("on-demand VMs go while others are only asked for: %v", again)
+	}
+	if again.reclaimable() <= serving.reclaimable() {
+		t.Fatalf("reclaimable VMs are not asked for again: %v", again)
+	}
+}
+
+func TestCountsStayWithinTheZonesBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewCounter(2 * time.Second)
+		now := epoch
+		serving := onDemand(3)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(400 * time.Millisecond)
+			need := rapid.Float64Range(1, 30).Draw(t, "need")
+			d := Demand{RequestsPerSecond: need, Wanted: need * rapid.Float64Range(1, 2).Draw(t, "wide"), MaxVMs: 24}
+			want := c.Step(d, countBounds, zoneOffers(), serving, now)
+			// A zone that holds too many VMs already can only shrink.
+			there := serving.byZone()
+			for zone, n := range want.byZone() {
+				if n < countBounds.MinPerZone || n > max(countBounds.MaxPerZone, there[zone]) {
+					t.Fatalf("%d VMs in %s", n, zone)
+				}
+			}
+			for _, o := range zoneOffers() {
+				slot, n := o.Slot, want[o.Slot]
+				if n < 0 {
+					t.Fatalf("%d VMs of %v", n, slot)
+				}
+				switch rapid.IntRange(0, 3).Draw(t, "outcome") {
+				case 0:
+					c.Refused(slot, now)
+				case 1:
+					c.Accepted(slot)
+					serving[slot] = n
+				case 2:
+					serving[slot] = min(n, serving[slot])
+				}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "reclaim") == 0 {
+				for slot := range serving {
+					if slot.Reclaimable && slot.AvailabilityZone == "zone-1" {
+						serving[slot] = 0
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestDemandFollowsAJumpAndHoldsIt(t *testing.T) {
+	m := NewMeter(DemandConfig{Needed: Level{Utilization: 1}, Wanted: Level{Utilization: 0.5}, Window: 3 * time.Second, Hold: 10 * time.Second})
+	total, now := 0.0, epoch
+	run := func(busy float64, d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(400 * time.Millisecond)
+			total += busy * 400
+			m.Note(total, now)
+		}
+	}
+	run(4, 10*time.Second)
+	if needed, wanted := m.VMs(4); needed < 3.9 || needed > 4.1 || wanted < 7.8 || wanted > 8.2 {
+		t.Fatalf("%v needed, %v wanted at 4 busy", needed, wanted)
+	}
+	run(12, 3*time.Second)
+	if needed, _ := m.VMs(4); needed < 11 {
+		t.Fatalf("%v needed 3 s after a jump to 12", needed)
+	}
+	run(4, 5*time.Second)
+	if needed, _ := m.VMs(4); needed < 11 {
+		t.Fatalf("%v needed 5 s after the jump's end", needed)
+	}
+	run(4, 20*time.Second)
+	if needed, _ := m.VMs(4); needed > 5 {
+		t.Fatalf("%v needed long after the jump", needed)
+	}
+}
--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -17,8 +17,13 @@
 	Readers int
 	// Fresh is how long a VM that tells nothing is taken to be there.
 	Fresh time.Duration
+	// Silent is how long a VM that is told things may say nothing before another
+	// takes its part.
+	Silent time.Duration
 	// Counts is how long a silent VM is counted among those that share limits.
 	Counts time.Duration
+	// Remember is how long a silent VM counts for the form of the deployment.
+	Remember time.Duration
 	// Retry is how often a silent VM is told something all the same.
 	Retry time.Duration
 	// MembersEvery is the number of digests between two that list members.
@@ -31,14 +36,18 @@
 	Hubs:         2,
 	Readers:      3,
 	Fresh:        1200 * time.Millisecond,
+	Silent:       2 * time.Second,
 	Counts:       8 * time.Second,
-	Retry:        2 * time.Second,
+	Remember:     5 * time.Minute,
+	Retry:        time.Second,
 	MembersEvery: 5,
 }
 
 // peer is what this VM knows of another one.
 type peer struct {
 	Member
+	// hash orders VMs alike for all.
+	hash uint64
 	// addedAt is when the VM was first heard of, heardAt when it last told
 	// something, relayedAt when a hub last listed it.
 	addedAt   time.Time
@@ -104,6 +113,7 @@
 type Core struct {
 	cfg      Config
 	self     Identity
+	hash     uint64
 	peers    map[string]*peer
 	sequence uint64
 	// view is the hub whose sums of all this VM goes by.
@@ -119,7 +129,7 @@
 
 // New returns a core that knows only itself.
 func New(cfg Config, self Identity) *Core {
-	return &Core{cfg: cfg, self: self, peers: map[string]*peer{}, zoneSource: map[string]string{}}
+	return &Core{cfg: cfg, self: self, hash: hash(self.VM), peers: map[string]*peer{}, zoneSource: map[string]string{}}
 }
 
 // Know adds a VM that a list names.
@@ -129,14 +139,21 @@
 	}
 	p, ok := c.peers[id.PeerAddress]
 	if !ok {
-		c.peers[id.PeerAddress] = &peer{Member: Member{Identity: id}, addedAt: now, sequence: map[Kind]uint64{}}
+		c.peers[id.PeerAddress] = &peer{Member: Member{Identity: id}, hash: hash(id.VM), addedAt: now, sequence: map[Kind]uint64{}}
 		return
 	}
 	if p.VM == "" {
-		p.Identity = id
+		p.become(Member{Identity: id})
 	}
 }
 
+func (p *peer) become(m Member) {
+	if p.VM != m.VM {
+		p.hash = hash(m.VM)
+	}
+	p.Member = m
+}
+
 func (p *peer) lastSign() time.Time {
 	latest := p.addedAt
 	for _, at := range []time.Time{p.heardAt, p.relayedAt} {
@@ -149,22 +166,44 @@
 
 func (c *Core) fresh(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < c.cfg.Fresh }
 
-// Count returns the number of VMs that share limits, this one included.
+// Count returns the number of VMs that share limits, this one included: as its
+// hub says, as a hub adds up, or as far as this VM knows them itself.
 func (c *Core) Count(now time.Time) int {
 	if c.fresh(c.viewAt, now) {
 		return max(c.count, 1)
 	}
-	count := 1
+	zone, others := 1, 0
+	known := 1
 	for _, p := range c.peers {
 		if now.Sub(p.lastSign()) < c.cfg.Counts {
-			count++
+			known++
+		}
+		if p.AvailabilityZone == c.self.AvailabilityZone && c.fresh(p.ownAt, now) {
+			zone++
+		}
+	}
+	for _, source := range c.zoneSource {
+		if p := c.peers[source]; p != nil && c.fresh(p.zoneAt, now) {
+			others += p.zone.Count
 		}
 	}
-	return count
+	if others == 0 {
+		return known
+	}
+	return zone + others
 }
 
-// IsMesh tells whether every VM tells every other.
-func (c *Core) IsMesh(now time.Time) bool { return c.Count(now) <= c.cfg.MeshLimit }
+// IsMesh tells whether every VM tells every other. VMs that are silent count for
+// long, so that a fault does not turn one form into the other.
+func (c *Core) IsMesh(now time.Time) bool {
+	known := 1
+	for _, p := range c.peers {
+		if now.Sub(p.lastSign()) < c.cfg.Remember {
+			known++
+		}
+	}
+	return max(known, c.Count(now)) <= c.cfg.MeshLimit
+}
 
 // Hear takes a digest, unless it is older than one already taken. It returns
 // the news in it, if there is any, and whether the digest was taken.
@@ -187,7 +226,8 @@
 		return News{}, false
 	}
 	p.sequence[d.Kind] = d.Sequence
-	p.Member, p.heardAt, p.askedAt = d.Member, now, time.Time{}
+	p.become(d.Member)
+	p.heardAt, p.askedAt = now, time.Time{}
 	p.reads, p.document, p.servers = d.ReadsStore, d.DocumentEnd, d.ServersEnd
 	c.hearHolder(d, now)
 	for _, m := range d.Members {
@@ -195,7 +235,7 @@
 		if q, ok := c.peers[m.PeerAddress]; ok {
 			q.relayedAt = now
 			if !c.fresh(q.heardAt, now) {
-				q.Member = m
+				q.become(m)
 			}
 		}
 	}
@@ -246,7 +286,8 @@
 		}
 		return News{Key: "zone:" + zone, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work, Moves: d.Moves}, true
 	}
-	if c.hasSubscribers(now) {
+	if c.IsMesh(now) || c.isHub(now) {
+		c.viewAt = time.Time{}
 		return News{}, true
 	}
 	if c.view != d.PeerAddress {
@@ -270,16 +311,13 @@
 	return out
 }
 
-// hasSubscribers tells whether this VM is a hub to others.
-func (c *Core) hasSubscribers(now time.Time) bool { return len(c.subscribers(now)) > 0 }
-
 // hubsOf returns the VMs of a zone that are to be its hubs: those with the
 // widest links, the same for every VM that knows the same ones. A VM that has
 // been told things and does not answer is passed over.
 func (c *Core) hubsOf(zone string, now time.Time) []*peer {
 	var list []*peer
 	if zone == c.self.AvailabilityZone {
-		list = append(list, &peer{Member: Member{Identity: c.self}, heardAt: now})
+		list = append(list, &peer{Member: Member{Identity: c.self}, hash: c.hash, heardAt: now})
 	}
 	for _, p := range c.peers {
 		if p.AvailabilityZone == zone && !p.Draining && !c.silent(p, now) {
@@ -287,14 +325,14 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(hash(a.VM), hash(b.VM)), cmp.Compare(a.PeerAddress, b.PeerAddress))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.hash, b.hash), cmp.Compare(a.PeerAddress, b.PeerAddress))
 	})
 	return list[:min(len(list), c.cfg.Hubs)]
 }
 
 // silent tells whether a VM has been told things for a while and says nothing.
 func (c *Core) silent(p *peer, now time.Time) bool {
-	return !p.askedAt.IsZero() && now.Sub(p.askedAt) > c.cfg.Fresh
+	return !p.askedAt.IsZero() && now.Sub(p.askedAt) > c.cfg.Silent
 }
 
 func hash(s string) uint64 {
@@ -335,7 +373,7 @@
 	}
 	rank := 0
 	for _, p := range c.peers {
-		if c.fresh(p.heardAt, now) && !p.Draining && hash(p.VM) < hash(c.self.VM) {
+		if c.fresh(p.heardAt, now) && !p.Draining && p.hash < c.hash {
 			rank++
 		}
 	}
@@ -382,16 +420,16 @@
 	return out
 }
 
-// Weights returns the number of VMs behind each key of the news.
+// Weights returns the number of VMs behind each key whose news counts now.
 func (c *Core) Weights(now time.Time) map[string]int {
 	out := map[string]int{}
-	if c.fresh(c.viewAt, now) && !c.IsMesh(now) {
+	if c.fresh(c.viewAt, now) {
 		out["all"] = max(c.count-1, 1)
 		return out
 	}
 	mesh := c.IsMesh(now)
 	for _, p := range c.peers {
-		if now.Sub(p.lastSign()) >= c.cfg.Counts || p.VM == "" {
+		if p.VM == "" || now.Sub(p.lastSign()) >= c.cfg.Counts {
 			continue
 		}
 		if mesh || p.AvailabilityZone == c.self.AvailabilityZone {
@@ -400,8 +438,11 @@
 			out["zone:"+p.AvailabilityZone]++
 		}
 	}
+	if mesh {
+		return out
+	}
 	for zone, source := range c.zoneSource {
-		if p := c.peers[source]; !mesh && p != nil && c.fresh(p.zoneAt, now) {
+		if p := c.peers[source]; p != nil && c.fresh(p.zoneAt, now) {
 			out["zone:"+zone] = max(p.zone.Count, 1)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/gossip/gossip_test.go
@@ -0,0 +1,277 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"coltsfootpath.example/coltsfootpath/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 10) }
+
+var begin = time.Unix(1_900_000_000, 0)
+
+const period = 200 * time.Millisecond
+
+// world is VMs whose messages arrive at once, unless their path is cut or they
+// are down.
+type world struct {
+	now   time.Time
+	zones int
+	vms   []*vm
+	// sent counts the messages of the last period by sender, and between zones.
+	sent    map[string]int
+	between int
+	lost    func() bool
+}
+
+type vm struct {
+	core *Core
+	id   Identity
+	down bool
+	// load is this VM's work on one server.
+	load uint64
+	// news is the latest of each key.
+	news map[string]News
+	at   map[string]time.Time
+}
+
+func newWorld(count, zones int) *world {
+	w := &world{now: begin, zones: zones, lost: func() bool { return false }}
+	for i := range count {
+		w.vms = append(w.vms, &vm{})
+		w.start(i, 1)
+	}
+	return w
+}
+
+func (w *world) start(i int, incarnation uint64) {
+	v := w.vms[i]
+	capacity := 10
+	if i < 2*w.zones {
+		capacity = 200
+	}
+	v.id = Identity{
+		VM: fmt.Sprint("vm-", i), Incarnation: incarnation, AvailabilityZone: fmt.Sprint("zone-", i%w.zones),
+		PeerAddress: fmt.Sprint("peer-", i), CallerAddress: fmt.Sprint("caller-", i), Capacity: capacity,
+	}
+	v.core = New(DefaultConfig, v.id)
+	v.news, v.at = map[string]News{}, map[string]time.Time{}
+	v.load = uint64(i + 1)
+	for j, other := range w.vms {
+		if j != i && other.core != nil {
+			v.core.Know(other.id, w.now)
+		}
+	}
+}
+
+func (w *world) run(periods int) {
+	byAddress := map[string]*vm{}
+	for _, v := range w.vms {
+		byAddress[v.id.PeerAddress] = v
+	}
+	for range periods {
+		w.now = w.now.Add(period)
+		w.sent, w.between = map[string]int{}, 0
+		for _, v := range w.vms {
+			if v.down {
+				continue
+			}
+			own := Digest{Loads: []Load{{Server: 1, Running: v.load}}}
+			own.Ready = true
+			for _, m := range v.core.Tell(own, w.now) {
+				w.deliver(v, byAddress[m.To], m)
+			}
+		}
+	}
+}
+
+func (w *world) deliver(from, to *vm, m Message) {
+	w.sent[from.id.VM]++
+	if to == nil || to.down || w.lost() {
+		return
+	}
+	if from.id.AvailabilityZone != to.id.AvailabilityZone {
+		w.between++
+	}
+	copied := *m.Digest
+	news, ok := to.core.Hear(&copied, w.now)
+	if ok && news.Key != "" {
+		to.news[news.Key], to.at[news.Key] = news, w.now
+	}
+}
+
+// seen is the sum of the loads that a VM knows of, its own included.
+func (v *vm) seen(now time.Time) uint64 {
+	sum := v.load
+	counts := v.core.Weights(now)
+	for key, n := range v.news {
+		if now.Sub(v.at[key]) > 2*time.Second || counts[key] == 0 {
+			continue
+		}
+		for _, l := range n.Loads {
+			sum += l.Running
+		}
+	}
+	return sum
+}
+
+func (w *world) total() uint64 {
+	sum := uint64(0)
+	for _, v := range w.vms {
+		if !v.down {
+			sum += v.load
+		}
+	}
+	return sum
+}
+
+func TestEveryVMSeesTheWork(t *testing.T) {
+	for _, count := range []int{2, 8, 16, 40, 88} {
+		w := newWorld(count, 4)
+		w.run(40)
+		for _, v := range w.vms {
+			if got := v.seen(w.now); got != w.total() {
+				t.Errorf("%d VMs: %s sees %d of %d", count, v.id.VM, got, w.total())
+			}
+			if got := v.core.Count(w.now); got != count {
+				t.Errorf("%d VMs: %s counts %d", count, v.id.VM, got)
+			}
+		}
+	}
+}
+
+// TestTrafficDoesNotGrowWithTheSquare: messages of a VM that is no hub are as
+// many at 320 VMs as at 40, and so are those between zones.
+func TestTrafficDoesNotGrowWithTheSquare(t *testing.T) {
+	type traffic struct{ small, between int }
+	measure := func(count int) traffic {
+		w := newWorld(count, 4)
+		w.run(40)
+		return traffic{w.sent[w.vms[count-1].id.VM], w.between}
+	}
+	a, b := measure(40), measure(320)
+	if a != b {
+		t.Errorf("%+v at 40 VMs, %+v at 320", a, b)
+	}
+}
+
+// TestDeadHubsAreReplaced ends the hubs of all zones at once.
+func TestDeadHubsAreReplaced(t *testing.T) {
+	w := newWorld(40, 4)
+	w.run(30)
+	for i := range 8 {
+		w.vms[i].down = true
+	}
+	w.run(50)
+	for _, v := range w.vms[8:] {
+		if got := v.seen(w.now); got != w.total() {
+			t.Errorf("%s sees %d of %d", v.id.VM, got, w.total())
+		}
+	}
+	for i := range 8 {
+		w.vms[i].down = false
+		w.start(i, 2)
+	}
+	w.run(50)
+	for _, v := range w.vms {
+		if got := v.seen(w.now); got != w.total() {
+			t.Errorf("after the return %s sees %d of %d", v.id.VM, got, w.total())
+		}
+	}
+}
+
+// TestSomebodyReadsTheStore: whoever is down, at least one VM reads, and not all
+// of a large deployment do.
+func TestSomebodyReadsTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 50).Draw(t, "vms")
+		w := newWorld(count, 4)
+		w.run(8)
+		down := rapid.IntRange(0, count-1).Draw(t, "down")
+		for i := range down {
+			w.vms[i].down = true
+		}
+		w.run(25)
+		readers := 0
+		for _, v := range w.vms {
+			if !v.down && v.core.IsReader(w.now) {
+				readers++
+			}
+		}
+		if readers == 0 {
+			t.Fatalf("nobody reads with %d of %d VMs down", down, count)
+		}
+		if up := count - down; up > 20 && readers > 10 {
+			t.Fatalf("%d of %d VMs read", readers, up)
+		}
+	})
+}
+
+// TestOldMessagesChangeNothing: a message that comes again, or late, is dropped.
+func TestOldMessagesChangeNothing(t *testing.T) {
+	c := New(DefaultConfig, Identity{VM: "a", PeerAddress: "pa", AvailabilityZone: "z"})
+	d := Digest{Sequence: 5, Loads: []Load{{Server: 1, Running: 7}}}
+	d.VM, d.PeerAddress, d.Incarnation = "b", "pb", 3
+	if _, ok := c.Hear(&d, begin); !ok {
+		t.Fatal("not taken")
+	}
+	for _, old := range []struct{ incarnation, sequence uint64 }{{3, 5}, {3, 4}, {2, 9}} {
+		again := d
+		again.Incarnation, again.Sequence = old.incarnation, old.sequence
+		if _, ok := c.Hear(&again, begin); ok {
+			t.Errorf("taken: %+v", old)
+		}
+	}
+	again := d
+	again.Incarnation, again.Sequence = 4, 1
+	if _, ok := c.Hear(&again, begin); !ok {
+		t.Error("a new life was not taken")
+	}
+}
+
+// TestLossesOnlyDelay: with a tenth of the messages lost, three times what links
+// are known to lose, views stay together.
+func TestLossesOnlyDelay(t *testing.T) {
+	w := newWorld(40, 4)
+	random := rand.New(rand.NewPCG(1, 1))
+	w.lost = func() bool { return random.IntN(10) == 0 }
+	w.run(60)
+	for _, v := range w.vms {
+		if got := v.seen(w.now); got < w.total()*9/10 || got > w.total()*11/10 {
+			t.Errorf("%s sees %d of %d", v.id.VM, got, w.total())
+		}
+	}
+}
+
+func TestTheHoldersWordSpreads(t *testing.T) {
+	w := newWorld(40, 4)
+	w.run(30)
+	holder := w.vms[39]
+	byAddress := map[string]*vm{}
+	for _, v := range w.vms {
+		byAddress[v.id.PeerAddress] = v
+	}
+	for range 20 {
+		w.now = w.now.Add(period)
+		for _, v := range w.vms {
+			own := Digest{}
+			if v == holder {
+				own.Fence, own.HolderAddress = 9, v.id.PeerAddress
+			}
+			for _, m := range v.core.Tell(own, w.now) {
+				w.deliver(v, byAddress[m.To], m)
+			}
+		}
+	}
+	for _, v := range w.vms {
+		address, fence, at := v.core.Holder()
+		if v != holder && (address != holder.id.PeerAddress || fence != 9 || w.now.Sub(at) > 5*period) {
+			t.Errorf("%s: holder %q, fence %d, %v ago", v.id.VM, address, fence, w.now.Sub(at))
+		}
+	}
+}
--- a/internal/coordination/gossip/tell.go
+++ b/internal/coordination/gossip/tell.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -51,7 +52,7 @@
 			all = append(all, p.Member)
 		}
 	}
-	slices.SortFunc(all, func(a, b Member) int { return int(hash(a.VM)%1024) - int(hash(b.VM)%1024) })
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
 	if len(all) <= maxListed {
 		return all
 	}
@@ -83,6 +84,7 @@
 			out = append(out, Message{To: p.PeerAddress, Digest: own})
 		}
 	}
+	out = append(out, c.greet(own, now)...)
 	subscribers := c.subscribers(now)
 	if len(subscribers) == 0 && !c.isHub(now) {
 		return out
@@ -101,6 +103,28 @@
 	return append(out, c.tellSubscribers(own, zone, subscribers, now)...)
 }
 
+// greetings is the number of periods in which a VM that has started tells all of
+// its zone that it is there.
+const greetings = 3
+
+// greet tells VMs of the zone what this one does that are not its hubs: all of
+// them at first, and later those that were silent, as they may be back.
+func (c *Core) greet(own *Digest, now time.Time) []Message {
+	hubs := c.hubsOf(c.self.AvailabilityZone, now)
+	var out []Message
+	for _, p := range c.peers {
+		if p.AvailabilityZone != c.self.AvailabilityZone || slices.Contains(hubs, p) {
+			continue
+		}
+		again := c.silent(p, now) && now.Sub(p.triedAt) >= c.cfg.Retry
+		if c.sequence <= greetings || again {
+			p.triedAt = now
+			out = append(out, Message{To: p.PeerAddress, Digest: own})
+		}
+	}
+	return out
+}
+
 // total adds up loads, quotas and work.
 type total struct {
 	loads  map[uint32]Load
--- /dev/null
+++ b/internal/coordination/quota/quota_test.go
@@ -0,0 +1,180 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"coltsfootpath.example/coltsfootpath/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 0) }
+
+var begin = time.Unix(1_900_000_000, 0)
+
+// world is a few VMs that share one workspace's quota. A central account judges
+// what they admit together.
+type world struct {
+	now      time.Time
+	vms      []*vm
+	limit    Limit
+	extra    float64
+	admitted []grant
+}
+
+type grant struct {
+	at   time.Time
+	cost float64
+}
+
+type vm struct {
+	shared *Shared
+	life   int
+	// cut is true while the VM hears nobody and nobody hears it.
+	cut bool
+}
+
+const workspace = "w"
+
+func newWorld(vms int, limit Limit, extra float64) *world {
+	w := &world{now: begin, limit: limit, extra: extra}
+	for i := range vms {
+		w.vms = append(w.vms, &vm{})
+		w.start(i)
+	}
+	return w
+}
+
+func (w *world) start(i int) {
+	v := w.vms[i]
+	v.life++
+	v.shared = New(w.extra)
+	v.shared.Configure(map[string]Limit{workspace: w.limit}, w.now)
+	others := map[string]int{}
+	for j := range w.vms {
+		if j != i {
+			others[fmt.Sprint(j)] = 1
+		}
+	}
+	v.shared.SetPeers(others, w.now)
+}
+
+// tell makes every VM tell every other.
+func (w *world) tell() {
+	for i, from := range w.vms {
+		totals := from.shared.Totals()
+		for j, to := range w.vms {
+			if i != j && !from.cut && !to.cut {
+				to.shared.Hear(fmt.Sprint(i), fmt.Sprint(from.life), totals, w.now)
+			}
+		}
+	}
+}
+
+func (w *world) ask(i int, cost float64) bool {
+	ok, wait := w.vms[i].shared.Admit(workspace, cost, w.now)
+	if ok {
+		w.admitted = append(w.admitted, grant{w.now, cost})
+	} else if wait <= 0 {
+		panic("refused without a time to come back at")
+	}
+	return ok
+}
+
+// most is the largest sum admitted in any span of a length.
+func (w *world) most(span time.Duration) float64 {
+	most := 0.0
+	for i := range w.admitted {
+		sum := 0.0
+		for _, g := range w.admitted[i:] {
+			if g.at.Sub(w.admitted[i].at) > span {
+				break
+			}
+			sum += g.cost
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// TestAHotWorkspaceStaysWithinItsQuota asks for several times the quota at all
+// VMs, some of which are cut off or start again. What is admitted together stays
+// within the quota, what a bucket may hold more, and what VMs can't know of each
+// other within one period.
+func TestAHotWorkspaceStaysWithinItsQuota(t *testing.T) {
+	const period = 200 * time.Millisecond
+	const window = 8 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{PerSecond: 1000, Burst: 1000}
+		vms := rapid.IntRange(1, 8).Draw(t, "vms")
+		w := newWorld(vms, limit, 200)
+		starts := 0
+		for range rapid.IntRange(20, 100).Draw(t, "periods") {
+			w.now = w.now.Add(period)
+			switch rapid.IntRange(0, 30).Draw(t, "event") {
+			case 0:
+				v := w.vms[rapid.IntRange(0, vms-1).Draw(t, "cut")]
+				v.cut = !v.cut
+			case 1:
+				w.start(rapid.IntRange(0, vms-1).Draw(t, "start"))
+				starts++
+			}
+			w.tell()
+			for i := range w.vms {
+				for range rapid.IntRange(0, 4).Draw(t, "asks") {
+					w.ask(i, float64(rapid.IntRange(1, 100).Draw(t, "cost")))
+				}
+			}
+		}
+		// A VM that is not heard of for SilentAfter is not yet taken to use its
+		// share, and each start brings half a bucket.
+		unseen := limit.PerSecond*(SilentAfter.Seconds()+2*period.Seconds()) + float64(vms)*400
+		bound := limit.PerSecond*window.Seconds() + limit.Burst + w.extra + unseen + float64(starts+vms-1)*(limit.Burst+w.extra)/2
+		if most := w.most(window); most > bound {
+			t.Fatalf("%v admitted in %v, bound %v", most, window, bound)
+		}
+	})
+}
+
+// TestAWorkspaceWithinItsQuotaIsNotRefused: a clumpy workspace at half of its
+// rate, at VMs drawn at random.
+func TestAWorkspaceWithinItsQuotaIsNotRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 8).Draw(t, "vms")
+		w := newWorld(vms, Limit{PerSecond: 1000, Burst: 1000}, 200)
+		for range 60 {
+			w.now = w.now.Add(200 * time.Millisecond)
+			w.tell()
+			if !w.ask(rapid.IntRange(0, vms-1).Draw(t, "vm"), 100) {
+				t.Fatalf("refused at half of the rate")
+			}
+		}
+	})
+}
+
+func TestARequestLargerThanTheBucketPassesWhenItIsFull(t *testing.T) {
+	w := newWorld(1, Limit{PerSecond: 100, Burst: 100}, 0)
+	w.now = w.now.Add(10 * time.Second)
+	if !w.ask(0, 250) {
+		t.Fatal("never admitted")
+	}
+	if w.ask(0, 1) {
+		t.Fatal("the bucket holds something yet")
+	}
+}
+
+func TestARefundIsToldToo(t *testing.T) {
+	w := newWorld(2, Limit{PerSecond: 100, Burst: 100}, 0)
+	w.now = w.now.Add(time.Second)
+	w.tell()
+	w.ask(0, 80)
+	w.tell()
+	w.vms[0].shared.Refund(workspace, 80)
+	w.tell()
+	if got := w.vms[1].shared.buckets[workspace].level; math.Abs(got-100) > 1 {
+		t.Fatalf("level %v at the peer", got)
+	}
+}
--- /dev/null
+++ b/internal/coordination/rollout/rollout_test.go
@@ -0,0 +1,120 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"coltsfootpath.example/coltsfootpath/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 0) }
+
+const within = 14 * time.Second
+
+func TestAGoodMoveIsDoneInTime(t *testing.T) {
+	p, doneAt := Unknown, time.Duration(0)
+	e := Evidence{}
+	for at := time.Duration(0); at <= within; at += 200 * time.Millisecond {
+		e.Add(Evidence{New: 1, Old: 12, OldBad: 1})
+		p = DefaultConfig.Next(p, e, at, within, true)
+		if p == Done && doneAt == 0 {
+			doneAt = at
+		}
+	}
+	if p != Done || doneAt >= within {
+		t.Fatalf("%v at %v", p, doneAt)
+	}
+}
+
+func TestABadMoveIsTakenBack(t *testing.T) {
+	for _, from := range []time.Duration{0, 4 * time.Second, 9 * time.Second} {
+		p, met := Unknown, uint64(0)
+		e := Evidence{}
+		for at := time.Duration(0); at <= within && p < Done; at += 200 * time.Millisecond {
+			n := uint64(1)
+			if p == Shift {
+				n = 12
+			}
+			bad := uint64(0)
+			if at >= from {
+				bad = n
+			}
+			e.Add(Evidence{New: n, NewBad: bad, Old: 12, OldBad: 1})
+			met += bad
+			p = DefaultConfig.Next(p, e, at, within, true)
+		}
+		if p != TakenBack || met > 50 {
+			t.Errorf("bad from %v: %v after %d bad answers", from, p, met)
+		}
+	}
+}
+
+func TestAMoveWithoutServersIsTakenBack(t *testing.T) {
+	p := Unknown
+	for at := time.Duration(0); at <= within; at += time.Second {
+		p = DefaultConfig.Next(p, Evidence{Old: 100}, at, within, false)
+	}
+	if p != TakenBack {
+		t.Fatalf("%v", p)
+	}
+}
+
+// TestEqualFailuresAreNotTheVersions: both versions fail alike, as where a
+// service behind them is down.
+func TestEqualFailuresAreNotTheVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bad := uint64(rapid.IntRange(0, 45).Draw(t, "bad in 100"))
+		e := Evidence{New: 100, NewBad: bad, Old: 1000, OldBad: 10 * bad}
+		if DefaultConfig.IsBad(e) {
+			t.Fatalf("condemned at %d in 100 for both", bad)
+		}
+	})
+}
+
+// TestPhasesOnlyGrow: whatever VMs hear in whatever order, they end alike.
+func TestPhasesOnlyGrow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewTable(DefaultConfig), NewTable(DefaultConfig)
+		for _, x := range []*Table{a, b} {
+			x.Ordered(3, "s", "v2", within, time.Time{})
+		}
+		phases := rapid.SliceOf(rapid.IntRange(0, int(TakenBack))).Draw(t, "phases")
+		for _, p := range phases {
+			before := a.Moves()[0].Phase
+			a.Heard("s", 3, Phase(p))
+			if a.Moves()[0].Phase < before {
+				t.Fatal("a phase went back")
+			}
+		}
+		for _, p := range rapid.Permutation(phases).Draw(t, "order") {
+			b.Heard("s", 3, Phase(p))
+		}
+		if a.Moves()[0].Phase != b.Moves()[0].Phase {
+			t.Fatal("phases differ")
+		}
+	})
+}
+
+func TestTheTrialsShareIsSmall(t *testing.T) {
+	table := NewTable(DefaultConfig)
+	table.Ordered(1, "s", "v2", within, time.Time{})
+	if side, _ := table.Choose("s", 0); side != Old {
+		t.Error("the new version gets requests before the trial")
+	}
+	table.Heard("s", 1, Trial)
+	share := 0
+	for i := range 1000 {
+		if side, _ := table.Choose("s", float64(i)/1000); side == New {
+			share++
+		}
+	}
+	if share < 50 || share > 100 {
+		t.Errorf("%d of 1000 on trial", share)
+	}
+	table.Heard("s", 1, TakenBack)
+	if side, _ := table.Choose("s", 0); side != Old {
+		t.Error("the new version gets requests after the move is taken back")
+	}
+}
--- /dev/null
+++ b/internal/coordination/usage/usage_test.go
@@ -0,0 +1,67 @@
+package usage
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"coltsfootpath.example/coltsfootpath/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 0) }
+
+// TestSumsAgreeWhateverOrderMessagesCome compares a table that hears messages
+// late, twice and out of order with a plain count.
+func TestSumsAgreeWhateverOrderMessagesCome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 5).Draw(t, "vms")
+		tables := make([]*Table, vms)
+		for i := range tables {
+			tables[i] = NewTable(Source{VM: string(rune('a' + i)), Incarnation: 1})
+		}
+		type message struct {
+			from   int
+			window int64
+			counts Counts
+		}
+		var sent []message
+		want := map[int64]Counts{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			window := int64(100 + rapid.IntRange(0, keptWindows-2).Draw(t, "window"))
+			name := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "workspace")
+			tables[i].Began(window, name)
+			if want[window] == nil {
+				want[window] = Counts{}
+			}
+			want[window][name]++
+			for w, c := range tables[i].Own(0) {
+				sent = append(sent, message{i, w, c})
+			}
+		}
+		holder := rapid.IntRange(0, vms-1).Draw(t, "holder")
+		order := rapid.Permutation(sent).Draw(t, "order")
+		for _, m := range append(order, order[:len(order)/2]...) {
+			tables[holder].Hear(Source{VM: string(rune('a' + m.from)), Incarnation: 1}, m.window, m.counts)
+		}
+		for window, counts := range want {
+			for name, n := range counts {
+				if got := tables[holder].Sum(window)[name]; got != n {
+					t.Fatalf("window %d, %s: %d, want %d", window, name, got, n)
+				}
+			}
+		}
+	})
+}
+
+// TestAFarWindowDropsNothing: a VM whose clock has jumped tells of windows that
+// are far off.
+func TestAFarWindowDropsNothing(t *testing.T) {
+	table := NewTable(Source{VM: "a", Incarnation: 1})
+	table.Began(100, "x")
+	table.Hear(Source{VM: "b", Incarnation: 1}, 100_000, Counts{"x": 5})
+	table.Hear(Source{VM: "b", Incarnation: 1}, 3, Counts{"x": 5})
+	if got := table.Sum(100)["x"]; got != 1 {
+		t.Fatalf("%d", got)
+	}
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -62,9 +62,11 @@
 	byID      map[string]*backend
 	byService map[string][]*backend
 	peerLoads map[string]peerLoad
-	health    *health.Table
-	members   func() int
-	maxConns  func(service string) int
+	// counted are the keys of peerLoads that count now.
+	counted  map[string]int
+	health   *health.Table
+	members  func() int
+	maxConns func(service string) int
 }
 
 type peerLoad struct {
@@ -175,6 +177,13 @@
 	t.peerLoads[key] = peerLoad{at: now, loads: loads}
 }
 
+// countLoads says under which keys loads count now.
+func (t *backendTable) countLoads(keys map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counted = keys
+}
+
 // ownLoads returns this VM's loads for a digest.
 func (t *backendTable) ownLoads() []gossip.Load {
 	t.mu.Lock()
@@ -279,8 +288,8 @@
 
 func (t *backendTable) peerSums(now time.Time) map[uint32]placement.Load {
 	sums := map[uint32]placement.Load{}
-	for _, p := range t.peerLoads {
-		if now.Sub(p.at) > loadAge {
+	for key, p := range t.peerLoads {
+		if now.Sub(p.at) > loadAge || t.counted[key] == 0 {
 			continue
 		}
 		for _, l := range p.loads {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -594,6 +594,33 @@
 	}
 }
 
+// TestAVMThatIsAboutToEndTakesNothingNew holds a long request open past the time
+// in which a leaving VM serves: what comes then could not be answered in time.
+func TestAVMThatIsAboutToEndTakesNothingNew(t *testing.T) {
+	f := newFixture(t)
+	s := f.server("a", func(n int, _ platformtest.Run) platformtest.Ending {
+		if n == 0 {
+			return platformtest.Silence
+		}
+		return platformtest.Whole
+	})
+	n := f.node("vm-1", 1)
+	go do(t, n, call{method: "POST", path: "/once/long", key: "key-w", id: "long"})
+	f.eventually("the long request runs", func() bool { return len(s.Runs()) == 1 })
+	ended := make(chan error, 1)
+	go func() { ended <- n.Drain(context.Background()) }()
+	f.eventually("the VM closes", n.closing.Load)
+	got := do(t, n, call{method: "POST", path: "/once/new", key: "key-w", id: "new"})
+	if got.err == nil && (got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "") || len(s.Runs()) != 1 {
+		t.Errorf("got %+v, %d runs", got, len(s.Runs()))
+	}
+	select {
+	case <-ended:
+	case <-time.After(testTimeout):
+		t.Fatal("the drain does not end")
+	}
+}
+
 func TestKeptConnectionsServeManyRequests(t *testing.T) {
 	f := newFixture(t)
 	f.server("a", nil)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -78,6 +78,9 @@
 	// or full: the platform replaces servers within seconds, and other VMs may
 	// reach some already.
 	retryNoServer = 400 * time.Millisecond
+	// retryElsewhere is when a request is sent again that came to a VM which is
+	// about to end: other VMs take it at once.
+	retryElsewhere = 50 * time.Millisecond
 	// staleAfter is when a VM that can't read the store stops saying that a key
 	// or route does not exist: a newer document may have it.
 	staleAfter = 4 * time.Second
@@ -124,6 +127,9 @@
 	if ref := q.checkHead(); ref != nil {
 		return ref
 	}
+	if n.closing.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving", after: retryElsewhere}
+	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	q.route = q.document.Route(strings.TrimSpace(q.r.Host), path)
 	if q.route == nil {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -363,6 +363,7 @@
 	count := m.core.Count(now)
 	m.mu.Unlock()
 	m.node.quota.SetPeers(weights, now)
+	m.node.backends.countLoads(weights)
 	m.node.metrics.members.Set(float64(count))
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -88,8 +88,10 @@
 	work     *workMeter
 	moves    *versionMoves
 
-	open      atomic.Int64
-	draining  atomic.Bool
+	open     atomic.Int64
+	draining atomic.Bool
+	// closing is set once a VM that leaves takes no new request.
+	closing   atomic.Bool
 	callers   *httpserver.Server
 	ready     *httpserver.Server
 	directory *httpserver.Server
@@ -299,8 +301,11 @@
 	n.duties.release()
 	end := began.Add(n.set.Grace - drainMargin)
 	for now := n.now(); now.Before(end) && ctx.Err() == nil; now = n.now() {
-		if now.Sub(began) >= min(drainServe, n.set.Grace/2) && n.open.Load() == 0 {
-			break
+		if now.Sub(began) >= min(drainServe, n.set.Grace/2) {
+			n.closing.Store(true)
+			if n.open.Load() == 0 {
+				break
+			}
 		}
 		sleep(ctx, drainPoll)
 	}
--- /dev/null
+++ b/internal/protocol/digest/digest_test.go
@@ -0,0 +1,55 @@
+package digest
+
+import (
+	"reflect"
+	"testing"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
+)
+
+func full() *gossip.Digest {
+	d := &gossip.Digest{
+		Sequence: 7, WallMillis: 1_790_000_000_000, Fence: 4, HolderAddress: "10.0.0.9:1", HolderAgeMillis: 30, DocumentEnd: 5, ServersEnd: 90,
+		Kind: gossip.Zone, Count: 3, ReadsStore: true,
+		Loads:  []gossip.Load{{Server: 5, Prefill: 640, Running: 3, Memory: 2560}},
+		Quotas: []gossip.Quota{{Workspace: 6, Total: 123456}},
+		Work:   []gossip.Work{{Service: 1, Millis: 77}},
+		Usage:  []gossip.Usage{{Window: 358000000, Workspace: "w", Count: 12}},
+		Moves:  []gossip.Move{{Service: 1, Order: 4, Phase: 2, New: 5, NewBad: 1, Old: 50, OldBad: 2}},
+	}
+	d.VM, d.Incarnation, d.AvailabilityZone, d.CallerAddress, d.PeerAddress, d.Capacity = "vm-1", 99, "zone-a", "10.0.0.1:80", "10.0.0.1:7600", 1000
+	d.Ready, d.Draining = true, true
+	d.Members = []gossip.Member{{Identity: gossip.Identity{VM: "vm-2", Incarnation: 1, PeerAddress: "10.0.0.2:7600", Capacity: 10}, Ready: true}}
+	return d
+}
+
+func TestADigestComesBack(t *testing.T) {
+	want := full()
+	got, err := Unmarshal(Marshal(want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v\nwant %+v", got, want)
+	}
+}
+
+// FuzzUnmarshal: no datagram panics, and what is taken encodes again.
+func FuzzUnmarshal(f *testing.F) {
+	f.Add(Marshal(full()))
+	f.Add([]byte{})
+	f.Add([]byte{0x0a, 0x02, 'a', 'b', 0x10, 0x01, 0x32, 0x01, 'x'})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := Unmarshal(data)
+		if err != nil {
+			return
+		}
+		again, err := Unmarshal(Marshal(d))
+		if err != nil {
+			t.Fatalf("%v of what was taken", err)
+		}
+		if again.VM != d.VM || again.Sequence != d.Sequence || len(again.Loads) != len(d.Loads) {
+			t.Fatalf("%+v became %+v", d, again)
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/upstream/upstream_test.go
@@ -0,0 +1,261 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const testTimeout = 20 * time.Second
+
+// serve answers each connection with script and counts the connections.
+func serve(t *testing.T, script func(c net.Conn, r *bufio.Reader)) (address string, connections *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connections = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer c.Close()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+func newPool(address string, most int) *Pool {
+	return NewPool(address, Config{DialTimeout: time.Second, MaxConnections: func() int { return most }, IdleWithoutHint: time.Minute})
+}
+
+func request(id string) Request {
+	return Request{
+		Method: "GET", Head: []byte("GET /x HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n\r\n"), MaxIdle: time.Minute,
+		IsOurs: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func exchange(t *testing.T, p *Pool, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	a, err := p.Do(ctx, request(id))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a.Body)
+	a.Close(err == nil)
+	return string(body), err
+}
+
+// echo answers with the request's id.
+func echo(c net.Conn, r *http.Request) {
+	id := r.Header.Get("Id")
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+}
+
+func TestAConnectionIsKept(t *testing.T) {
+	address, connections := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			echo(c, req)
+		}
+	})
+	p := newPool(address, 4)
+	for i := range 10 {
+		if got, err := exchange(t, p, fmt.Sprint(i)); err != nil || got != fmt.Sprint(i) {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	if n := connections.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestALateAnswerOfAnotherRequestIsPassedOver comes on the connection right
+// before the answer that is waited for.
+func TestALateAnswerOfAnotherRequestIsPassedOver(t *testing.T) {
+	address, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother")
+			echo(c, req)
+		}
+	})
+	p := newPool(address, 4)
+	for i := range 5 {
+		if got, err := exchange(t, p, fmt.Sprint(i)); err != nil || got != fmt.Sprint(i) {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+}
+
+// TestAClosedConnectionIsNotUsed: the server closes each connection after its
+// answer without saying so.
+func TestAClosedConnectionIsNotUsed(t *testing.T) {
+	address, connections := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if req, err := http.ReadRequest(r); err == nil {
+			echo(c, req)
+		}
+	})
+	p := newPool(address, 4)
+	for i := range 5 {
+		if _, err := exchange(t, p, fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+		waitClosed(t, p)
+	}
+	if n := connections.Load(); n != 5 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// waitClosed waits until the idle connection's end has come.
+func waitClosed(t *testing.T, p *Pool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		idle := len(p.idle) == 1
+		gone := idle && !quiet(p.idle[0].Conn)
+		p.mu.Unlock()
+		if gone || !idle {
+			return
+		}
+	}
+	t.Fatal("the connection stays open")
+}
+
+func TestErrorsSayWhetherTheRequestWasSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := l.Addr().String()
+	_ = l.Close()
+	if _, err := exchange(t, newPool(nobody, 4), "a"); !errors.Is(err, ErrNotSent) {
+		t.Errorf("nobody listens: %v", err)
+	}
+	if _, err := exchange(t, newPool(nobody, 0), "a"); !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrFull) {
+		t.Errorf("no connection left: %v", err)
+	}
+	for name, script := range map[string]func(c net.Conn, r *bufio.Reader){
+		"closed":  func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) },
+		"garbage": func(c net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r); fmt.Fprint(c, "no answer\r\n\r\n") },
+		"endless head": func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+			line := "X: " + strings.Repeat("x", 1000) + "\r\n"
+			for range 200 {
+				if _, err := io.WriteString(c, line); err != nil {
+					return
+				}
+			}
+		},
+	} {
+		address, _ := serve(t, script)
+		if _, err := exchange(t, newPool(address, 4), "a"); !errors.Is(err, ErrCut) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestAnEarlyAnswerLeavesTheBodyWhole: the server answers before it reads a long
+// body; the connection is not used for another request meanwhile.
+func TestAnEarlyAnswerLeavesTheBodyWhole(t *testing.T) {
+	const size = 4 << 20
+	read := make(chan int64, 1)
+	address, connections := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		echo(c, req)
+		n, _ := io.Copy(io.Discard, req.Body)
+		read <- n
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			echo(c, req)
+		}
+	})
+	p := newPool(address, 4)
+	req := request("early")
+	req.Head = []byte(fmt.Sprintf("POST /x HTTP/1.1\r\nHost: a\r\nId: early\r\nContent-Length: %d\r\n\r\n", size))
+	req.Body = make([]byte, size)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	a, err := p.Do(ctx, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(a.Body); err != nil {
+		t.Fatal(err)
+	}
+	a.Close(true)
+	if _, err := exchange(t, p, "next"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case n := <-read:
+		if n == size && connections.Load() != 1 || n != size && connections.Load() != 2 {
+			t.Errorf("%d of %d bytes read, %d connections", n, size, connections.Load())
+		}
+	case <-ctx.Done():
+		t.Fatal("the body is not read")
+	}
+}
+
+func TestTheContextsEndClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	if _, err := newPool(address, 4).Do(ctx, request("a")); !errors.Is(err, ErrCut) && !errors.Is(err, ErrNotSent) {
+		t.Fatalf("%v", err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(testTimeout):
+		t.Fatal("the connection stays open")
+	}
+}
+
+func TestKeepTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"timeout=5": 5*time.Second - idleMargin, "max=3, timeout=2": 2*time.Second - idleMargin, "": time.Minute, "timeout=x": time.Minute,
+	} {
+		if got := keepTime(http.Header{"Keep-Alive": {value}}, time.Minute); got != want {
+			t.Errorf("%q: %v", value, got)
+		}
+	}
+}
