--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -50,12 +50,19 @@
 
 // Config bounds a move.
 type Config struct {
-	// TrialShare of the requests goes to the new version on trial.
-	TrialShare float64
+	// TrialShare of the requests goes to the new version on trial, FirstShare
+	// until it has given FirstAnswers: the first faults show soon where traffic
+	// is low.
+	TrialShare   float64
+	FirstShare   float64
+	FirstAnswers uint64
 	// ShiftAt and DoneAt are shares of the time that the operator gives.
 	ShiftAt, DoneAt float64
-	// MinAnswers of the new version are needed to go on.
+	// MinAnswers of the new version are needed to go on, FewAnswers once LateAt of
+	// the time has passed.
 	MinAnswers uint64
+	FewAnswers uint64
+	LateAt     float64
 	// MinBad answers, at a rate over Factor times the old one's and over MinRate,
 	// take the move back.
 	MinBad  uint64
@@ -65,13 +72,17 @@
 
 // DefaultConfig holds the bounds used where nothing else is set.
 var DefaultConfig = Config{
-	TrialShare: 0.08,
-	ShiftAt:    0.6,
-	DoneAt:     0.85,
-	MinAnswers: 10,
-	MinBad:     4,
-	Factor:     2.5,
-	MinRate:    0.08,
+	TrialShare:   0.08,
+	FirstShare:   0.25,
+	FirstAnswers: 20,
+	ShiftAt:      0.6,
+	DoneAt:       0.85,
+	MinAnswers:   15,
+	FewAnswers:   5,
+	LateAt:       0.75,
+	MinBad:       4,
+	Factor:       2.5,
+	MinRate:      0.08,
 }
 
 // IsBad tells whether the evidence is against the new version.
@@ -98,7 +109,7 @@
 		return TakenBack
 	case p == Unknown:
 		return Trial
-	case p == Trial && part >= c.ShiftAt && hasServers && e.New >= c.MinAnswers:
+	case p == Trial && hasServers && (part >= c.ShiftAt && e.New >= c.MinAnswers || part >= c.LateAt && e.New >= c.FewAnswers):
 		return Shift
 	case p == Shift && part >= c.DoneAt:
 		return Done
@@ -177,17 +188,26 @@
 )
 
 // Choose returns the side of a request, and the version that is new. draw is a
-// random number below 1.
-func (t *Table) Choose(service string, draw float64) (Side, string) {
+// random number below 1, answers the number of answers that the new version is
+// known to have given.
+func (t *Table) Choose(service string, draw float64, answers func(m Move) uint64) (Side, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[service]
 	if !ok {
 		return Any, ""
 	}
-	switch {
-	case m.Phase == Done || m.Phase == Shift || m.Phase == Trial && draw < t.cfg.TrialShare:
+	switch m.Phase {
+	case Done, Shift:
 		return New, m.Target
+	case Trial:
+		share := t.cfg.TrialShare
+		if answers(*m) < t.cfg.FirstAnswers {
+			share = t.cfg.FirstShare
+		}
+		if draw < share {
+			return New, m.Target
+		}
 	}
 	return Old, m.Target
 }
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -40,7 +40,7 @@
 	if err := set.Schema().Load(path); err != nil {
 		return &app.CodeError{Code: app.ExitUsage, Err: err}
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB) * megabyte))
+	debug.SetMemoryLimit(int64(memoryShare * set.MemoryMB * megabyte))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	n, err := Start(set, os.Stdout)
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -79,7 +79,7 @@
 // side chooses the version of a request. A side without servers gives way to
 // the other only where that one is the old version, or has been given all.
 func (v *versionMoves) side(service string, draw float64) versionChoice {
-	side, target := v.table.Choose(service, draw)
+	side, target := v.table.Choose(service, draw, func(m rollout.Move) uint64 { return v.evidence(m, v.node.now()).New })
 	if side == rollout.Any {
 		return versionChoice{}
 	}
@@ -100,6 +100,17 @@
 	return versionChoice{side: side, target: target}
 }
 
+// target returns the version that a service is being moved to, empty where no
+// move is under way.
+func (v *versionMoves) target(service string) string {
+	for _, m := range v.table.Moves() {
+		if m.Service == service && m.Phase < rollout.Done {
+			return m.Target
+		}
+	}
+	return ""
+}
+
 // answered counts the end of an attempt as evidence.
 func (v *versionMoves) answered(s *site.Server, e end) {
 	switch e {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -133,7 +133,7 @@
 		n.metrics.verdicts.WithLabelValues(k.Model, phase).Inc()
 	})
 	n.backends = newBackendTable(n.health)
-	n.quota = quota.New(quotaExtraShare * float64(set.QuotaSlack))
+	n.quota = quota.New(quotaExtraShare * set.QuotaSlack)
 	n.usage = usage.NewTable(usage.Source{VM: set.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
 	n.operator = newFollower(n, platform.OperatorTopic, 0, n.applyOperator)
@@ -143,7 +143,7 @@
 	n.moves = newVersionMoves(n)
 	n.retries = newRetryBudgets(retry.Config{
 		Ratio:   set.RetryRatio * retryShare,
-		Reserve: float64(set.RetrySlack) * retryShare,
+		Reserve: set.RetrySlack * retryShare,
 	}, n.members.count)
 	n.backends.members = n.members.count
 	n.backends.maxConns = n.maxConnections
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -130,11 +130,13 @@
 	}
 }
 
-// present counts the servers of a service that stay.
+// present counts the servers of a service that stay. Those of a version that is
+// being moved to are the operator's until the move has ended.
 func (o *orderer) present(service string) fleetplan.Counts {
 	out := fleetplan.Counts{}
+	target := o.node.moves.target(service)
 	for _, s := range o.node.backends.snapshot(service) {
-		if !s.Leaving {
+		if !s.Leaving && (target == "" || s.SoftwareVersion != target) {
 			out[slotOf(s)]++
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,10 +71,10 @@
 	}})
 }
 
-// Ratio adds a number between low and high.
-func (s *Schema) Ratio(section, key string, target *float64, def, low, high float64, help string) {
+// Number adds a number, whole or not, between low and high.
+func (s *Schema) Number(section, key string, target *float64, def, low, high float64, unit, help string) {
 	*target = def
-	s.add(Field{Section: section, Key: key, Default: strconv.FormatFloat(def, 'g', -1, 64), Unit: "share", Bounds: fmt.Sprintf("%g to %g", low, high), Help: help, set: func(v string) error {
+	s.add(Field{Section: section, Key: key, Default: strconv.FormatFloat(def, 'g', -1, 64), Unit: unit, Bounds: fmt.Sprintf("%g to %g", low, high), Help: help, set: func(v string) error {
 		x, err := strconv.ParseFloat(v, 64)
 		if err != nil {
 			return fmt.Errorf("%q is no number", v)
