Orders: the first size is kept until traffic is known; quota and sums after silence

Causes: a sum over VMs that shrinks while one is silent counted what came back twice; what a bucket had taken out for a silent peer was lost where the peer had not used it. Servers' records are read together for 250 ms.

--- a/internal/coordination/fleetplan/counts_test.go
+++ b/internal/coordination/fleetplan/counts_test.go
@@ -177,3 +177,32 @@
 		t.Fatalf("%v needed long after the jump", needed)
 	}
 }
+
+// TestTheFirstSizeIsKeptUntilTrafficIsKnown: traffic begins some time after the
+// VMs do.
+func TestTheFirstSizeIsKeptUntilTrafficIsKnown(t *testing.T) {
+	level := Level{Utilization: 1, FloorShare: 0.25, StartShare: 0.5}
+	m := NewMeter(DemandConfig{Needed: level, Wanted: level, Window: 3 * time.Second, Hold: 10 * time.Second})
+	now, total := epoch, 0.0
+	run := func(busy float64, d time.Duration) float64 {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(400 * time.Millisecond)
+			total += busy * 400
+			m.Note(total, now)
+		}
+		needed, _ := m.VMs(100)
+		return needed
+	}
+	if got := run(0, time.Minute); got != 50 {
+		t.Errorf("%v needed without traffic", got)
+	}
+	if got := run(10, 5*time.Second); got != 50 {
+		t.Errorf("%v needed 5 s after the traffic began", got)
+	}
+	if got := run(10, 10*time.Second); got != 25 {
+		t.Errorf("%v needed once the traffic is known", got)
+	}
+	if got := run(80, 5*time.Second); got < 75 {
+		t.Errorf("%v needed after a jump to 80", got)
+	}
+}
--- a/internal/coordination/fleetplan/demand.go
+++ b/internal/coordination/fleetplan/demand.go
@@ -7,8 +7,11 @@
 	// Utilization is the share of a VM's time that is planned to be used; work
 	// that shares a batch counts more than once, so that it may be over 1.
 	Utilization float64
-	// FloorShare of the VMs found at first is kept whatever the work.
+	// FloorShare of the VMs found at first is kept whatever the work, and
+	// StartShare until the work has been seen for a while: what the operator
+	// began with is the best guess before.
 	FloorShare float64
+	StartShare float64
 }
 
 // DemandConfig bounds the demand.
@@ -27,6 +30,9 @@
 	cfg     DemandConfig
 	samples []sample
 	peaks   []peak
+	// seenFrom is when work was first seen.
+	seenFrom time.Time
+	lastAt   time.Time
 }
 
 type sample struct {
@@ -53,7 +59,12 @@
 	if passed < m.cfg.Window/2 {
 		return
 	}
-	m.peaks = append(m.peaks, peak{now, (total - first.total) / float64(passed.Milliseconds())})
+	busy := (total - first.total) / float64(passed.Milliseconds())
+	if m.seenFrom.IsZero() && busy > 0 {
+		m.seenFrom = now
+	}
+	m.lastAt = now
+	m.peaks = append(m.peaks, peak{now, busy})
 	for now.Sub(m.peaks[0].at) > m.cfg.Hold {
 		m.peaks = m.peaks[1:]
 	}
@@ -65,9 +76,14 @@
 	for _, p := range m.peaks {
 		busy = max(busy, p.vms)
 	}
-	return m.cfg.Needed.of(busy, found), m.cfg.Wanted.of(busy, found)
+	measured := !m.seenFrom.IsZero() && m.lastAt.Sub(m.seenFrom) >= m.cfg.Hold
+	return m.cfg.Needed.of(busy, found, measured), m.cfg.Wanted.of(busy, found, measured)
 }
 
-func (l Level) of(busy float64, found int) float64 {
-	return max(busy/l.Utilization, l.FloorShare*float64(found), 1)
+func (l Level) of(busy float64, found int, measured bool) float64 {
+	floor := l.FloorShare
+	if !measured {
+		floor = max(floor, l.StartShare)
+	}
+	return max(busy/l.Utilization, floor*float64(found), 1)
 }
--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -92,8 +92,13 @@
 		s.all = map[uint32]uint64{}
 	}
 	before, known := s.last[key]
+	if known && total <= before {
+		// A sum over VMs shrinks while one of them is silent: what it had told
+		// must not count again once it is back.
+		return
+	}
 	s.last[key] = total
-	if known && total > before {
+	if known {
 		s.all[key] += total - before
 	}
 }
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -303,3 +303,14 @@
 		}
 	}
 }
+
+// TestASilentVMsWorkCountsOnce: a VM of another zone falls silent and comes back.
+func TestASilentVMsWorkCountsOnce(t *testing.T) {
+	var s sums
+	for _, total := range []uint64{100, 150, 90, 150, 160} {
+		s.take(1, total)
+	}
+	if s.all[1] != 60 {
+		t.Fatalf("%d counted of 60", s.all[1])
+	}
+}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -206,10 +206,10 @@
 		*h = heard{life: life, total: total}
 		return
 	}
-	// A refund lowers a total.
+	// A refund lowers a total. What was taken out for a silent peer is given back
+	// as far as the peer has not used it.
 	drawn := float64(int64(total - h.total))
 	h.total = total
-	taken := min(h.assumed, max(drawn, 0))
+	b.level = min(b.level+h.assumed-drawn, b.limit.Burst+extra)
 	h.assumed = 0
-	b.level = min(b.level-(drawn-taken), b.limit.Burst+extra)
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -155,6 +155,21 @@
 	})
 }
 
+// TestWhatASilentPeerDidNotUseIsGivenBack: digests are lost for three seconds
+// while the workspace is idle.
+func TestWhatASilentPeerDidNotUseIsGivenBack(t *testing.T) {
+	w := newWorld(4, Limit{PerSecond: 100, Burst: 300}, 0)
+	w.now = w.now.Add(5 * time.Second)
+	w.tell()
+	w.ask(0, 250)
+	w.tell()
+	w.now = w.now.Add(3 * time.Second)
+	w.tell()
+	if got := w.vms[1].shared.buckets[workspace].level; got < 299 {
+		t.Fatalf("level %v after 3 s at 100 a second", got)
+	}
+}
+
 func TestARequestLargerThanTheBucketPassesWhenItIsFull(t *testing.T) {
 	w := newWorld(1, Limit{PerSecond: 100, Burst: 100}, 0)
 	w.now = w.now.Add(10 * time.Second)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -199,7 +199,7 @@
 
 // serversPause gathers the entries of servers that change one after another;
 // the platform allows seconds for a leaving server.
-const serversPause = 100 * time.Millisecond
+const serversPause = 250 * time.Millisecond
 
 func (n *Node) noteCall(call string, err error) {
 	outcome := "done"
