--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -120,20 +120,35 @@
 }
 
 // Choose returns the candidate on which the request is answered soonest and
-// delays others the least.
+// delays others the least. Servers on trial get their share alone, and ejected
+// ones nothing, as long as there are others: any server is better than none.
 func Choose(cost Cost, req Request, list []Candidate, random *rand.Rand) Choice {
+	for _, fit := range []func(c *Candidate) bool{
+		func(c *Candidate) bool { return c.Weight >= 1 || c.Weight > 0 && random.Float64() < c.Weight },
+		func(c *Candidate) bool { return c.Weight > 0 },
+		func(*Candidate) bool { return true },
+	} {
+		if best := least(cost, req, list, fit, random); best.Index >= 0 {
+			return best
+		}
+	}
+	return Choice{Index: -1}
+}
+
+// least returns the candidate with the lowest score among those that fit.
+func least(cost Cost, req Request, list []Candidate, fit func(c *Candidate) bool, random *rand.Rand) Choice {
 	home := homeOf(req.Home, list)
-	best, least := Choice{Index: -1}, math.Inf(1)
+	best, lowest := Choice{Index: -1}, math.Inf(1)
 	for i := range list {
 		c := &list[i]
-		if c.Weight <= 0 || c.Weight < 1 && random.Float64() >= c.Weight {
+		if !fit(c) {
 			continue
 		}
 		choice, score := weigh(cost, req, c, i == home)
 		score += random.Float64() * jitter
-		if score < least {
+		if score < lowest {
 			choice.Index = i
-			best, least = choice, score
+			best, lowest = choice, score
 		}
 	}
 	return best
--- a/internal/lab/command.go
+++ b/internal/lab/command.go
@@ -53,7 +53,7 @@
 	cmd.Flags().DurationVar(&o.Spread, "spread", 12*time.Second, "time over which they are sent")
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the requests and faults")
 	cmd.Flags().BoolVar(&o.Faults, "faults", true, "switch faults on while requests run")
-	cmd.AddCommand(soakCommand(), movebench.Command(), moveCommand())
+	cmd.AddCommand(soakCommand(), faultsCommand(), movebench.Command(), moveCommand())
 	return cmd
 }
 
