--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -47,12 +47,12 @@
 
 // Event writes one line about an ordinary outcome or a change of belief.
 func (l *Logger) Event(part, event string, pairs ...any) {
-	l.add(&l.ordinary, maxOrdinary, &l.dropped, line(part, event, pairs))
+	l.add(&l.ordinary, maxOrdinary, &l.dropped, line(time.Now(), part, event, pairs))
 }
 
 // Failure writes one line about something that went wrong.
 func (l *Logger) Failure(part, event string, pairs ...any) {
-	l.add(&l.failures, maxFailures, &l.lost, line(part, event, pairs))
+	l.add(&l.failures, maxFailures, &l.lost, line(time.Now(), part, event, pairs))
 }
 
 // Dropped returns the number of ordinary lines and of failures not written.
@@ -112,9 +112,13 @@
 	}
 }
 
-// line builds "part event key=value ...".
-func line(part, event string, pairs []any) string {
-	b := make([]byte, 0, 160)
+// timeFormat is the time of day in UTC, to the millisecond.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
+// line builds "time part event key=value ...".
+func line(at time.Time, part, event string, pairs []any) string {
+	b := at.UTC().AppendFormat(make([]byte, 0, 256), timeFormat)
+	b = append(b, ' ')
 	b = append(b, part...)
 	b = append(b, ' ')
 	b = append(b, event...)
