--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -60,7 +60,7 @@
 	flags.StringVar(&o.tokenFile, "token-file", "", "file with the admin token")
 	flags.StringVarP(&o.output, "output", "o", outputTable, "table or json")
 	flags.DurationVar(&o.timeout, "timeout", 15*time.Second, "how long to wait for the coordinator")
-	cmd.AddCommand(documentCommand(o), moveCommand(o), nodeCommand(o), reportCommand(o), settingsCommand(o), statusCommand(o))
+	cmd.AddCommand(documentCommand(o), moveCommand(o), nodeCommand(o), reportCommand(o), settingsCommand(o), statusCommand(o), explainCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,139 @@
+package ctl
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"coltsfootpath.example/coltsfootpath/internal/app"
+)
+
+// explainCommand returns the command that gathers what gateways wrote of a
+// request.
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID FILE...",
+		Short: "Gather from log files what was decided about a request, and what was believed of its servers",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var lines []string
+			for _, path := range args[1:] {
+				more, err := readLines(path)
+				if err != nil {
+					return &app.CodeError{Code: app.ExitUsage, Err: err}
+				}
+				lines = append(lines, more...)
+			}
+			if !explain(args[0], lines, cmd.OutOrStdout()) {
+				return &app.CodeError{Code: app.ExitFailed, Err: errors.Newf("no line names request %s", args[0])}
+			}
+			return nil
+		},
+	}
+}
+
+const maxLogLine = 1 << 20
+
+func readLines(path string) ([]string, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer f.Close()
+	var lines []string
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		lines = append(lines, scanner.Text())
+	}
+	return lines, errors.Wrapf(scanner.Err(), "read %s", path)
+}
+
+var (
+	serverPattern = regexp.MustCompile(`\bserver=(\S+)`)
+	trailPattern  = regexp.MustCompile(`\btrail=(\S+)`)
+)
+
+// explain writes the lines about a request in the order of their time, and
+// beside them those that tell what was believed of its servers and of the store.
+func explain(id string, lines []string, out io.Writer) bool {
+	var own []string
+	servers := map[string]bool{}
+	for _, l := range lines {
+		if !strings.Contains(l, " id="+id+" ") && !strings.HasSuffix(l, " id="+id) {
+			continue
+		}
+		own = append(own, l)
+		for _, m := range serverPattern.FindAllStringSubmatch(l, -1) {
+			servers[m[1]] = true
+		}
+		for _, m := range trailPattern.FindAllStringSubmatch(l, -1) {
+			for step := range strings.SplitSeq(m[1], ",") {
+				name, _, _ := strings.Cut(step, ":")
+				servers[name] = true
+			}
+		}
+	}
+	if len(own) == 0 {
+		return false
+	}
+	slices.Sort(own)
+	all := append(own, beliefs(lines, servers, own[0], own[len(own)-1])...)
+	slices.Sort(all)
+	for _, l := range slices.Compact(all) {
+		fmt.Fprintln(out, l)
+	}
+	return true
+}
+
+// beliefs returns what was believed while a request ran: the newest line of each
+// kind before its first line, and all until its last one.
+func beliefs(lines []string, servers map[string]bool, first, last string) []string {
+	newest := map[string]string{}
+	var out []string
+	for _, l := range lines {
+		if l > last || !isBelief(l, servers) {
+			continue
+		}
+		if l >= first {
+			out = append(out, l)
+			continue
+		}
+		if kind := kindOf(l); l > newest[kind] {
+			newest[kind] = l
+		}
+	}
+	for _, l := range newest {
+		out = append(out, l)
+	}
+	return out
+}
+
+// kindOf is a line's part, event and server, without its time.
+func kindOf(line string) string {
+	words := strings.Fields(line)
+	kind := strings.Join(words[1:min(len(words), 3)], " ")
+	return kind + " " + serverPattern.FindString(line)
+}
+
+// isBelief tells whether a line says what was believed of one of the servers, or
+// of the store.
+func isBelief(line string, servers map[string]bool) bool {
+	_, rest, _ := strings.Cut(line, " ")
+	part, _, _ := strings.Cut(rest, " ")
+	switch part {
+	case "store", "document", "gateway", "moves":
+		return true
+	case "servers", "health":
+		m := serverPattern.FindStringSubmatch(line)
+		return m != nil && servers[m[1]]
+	}
+	return false
+}
--- a/internal/ctl/reference_test.go
+++ b/internal/ctl/reference_test.go
@@ -37,7 +37,7 @@
 	for _, f := range document.Fields() {
 		row(&b, "`"+f.Path+"`", f.Type, f.Unit, f.Default, f.Bounds, f.Help)
 	}
-	for _, name := range []string{"entry", "coordinator"} {
+	for _, name := range []string{"entry", "coordinator", "gateway"} {
 		settingsTable(&b, schemas()[name])
 	}
 	goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).Assert(t, "CONFIGURATION", []byte(b.String()))
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -11,6 +11,7 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordinator"
 	"coltsfootpath.example/coltsfootpath/internal/entry"
 	"coltsfootpath.example/coltsfootpath/internal/findings"
+	"coltsfootpath.example/coltsfootpath/internal/gateway"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/adminapi"
 	"coltsfootpath.example/coltsfootpath/internal/settings"
 )
@@ -75,17 +76,18 @@
 func schemas() map[string]*settings.Schema {
 	var e entry.Settings
 	var c coordinator.Settings
-	return map[string]*settings.Schema{"entry": e.Schema(), "coordinator": c.Schema()}
+	var g gateway.Settings
+	return map[string]*settings.Schema{"entry": e.Schema(), "coordinator": c.Schema(), "gateway": g.Schema()}
 }
 
 func settingsCommand(o *options) *cobra.Command {
 	cmd := &cobra.Command{Use: "settings", Short: "Checks settings files"}
 	cmd.AddCommand(&cobra.Command{
-		Use: "check {entry|coordinator} FILE", Short: "Checks a settings file with the binary's own code", Args: cobra.ExactArgs(2),
+		Use: "check {entry|coordinator|gateway} FILE", Short: "Checks a settings file with the binary's own code", Args: cobra.ExactArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
 			schema, ok := schemas()[args[0]]
 			if !ok {
-				return &app.CodeError{Code: app.ExitUsage, Err: errors.Newf("%q is neither entry nor coordinator", args[0])}
+				return &app.CodeError{Code: app.ExitUsage, Err: errors.Newf("%q is none of entry, coordinator and gateway", args[0])}
 			}
 			err := schema.Load(args[1])
 			var found *findings.Error
