--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -71,47 +71,91 @@
 	document    uint64
 	servers     uint64
 
-	// quotas and work are this VM's sums of what the peer has told since this VM
-	// first heard of it, over all of the peer's lives.
-	quotas, work sums
+	// told are the totals of what the peer does itself, since this VM first heard
+	// of it and over all of the peer's lives; zoneTold and allTold follow those
+	// that it tells as a hub.
+	told, zoneTold, allTold totals
 }
 
-// sums turns totals that start anew with each life into one that only grows.
+// sums turns totals that start anew with each life into ones that only grow.
 type sums struct {
 	last map[uint32]uint64
 	all  map[uint32]uint64
 }
 
+// reset begins a new life: its first totals are where the next ones count from.
 func (s *sums) reset() { s.last = nil }
 
-func (s *sums) take(key uint32, total uint64) {
+// take notes a total and returns by how much it has grown. A sum over VMs
+// shrinks while one of them is silent, and a total where something is given
+// back: what had been told before must not count again.
+func (s *sums) take(key uint32, total uint64) uint64 {
 	if s.last == nil {
 		s.last = map[uint32]uint64{}
 	}
-	if s.all == nil {
-		s.all = map[uint32]uint64{}
-	}
 	before, known := s.last[key]
 	if known && total <= before {
-		// A sum over VMs shrinks while one of them is silent: what it had told
-		// must not count again once it is back.
-		return
+		return 0
 	}
 	s.last[key] = total
-	if known {
-		s.all[key] += total - before
+	if !known {
+		return 0
+	}
+	return total - before
+}
+
+func (s *sums) add(key uint32, growth uint64) {
+	if s.all == nil {
+		s.all = map[uint32]uint64{}
+	}
+	s.all[key] += growth
+}
+
+// totals are what is told of workspaces' quotas and services' work.
+type totals struct {
+	quotas, work sums
+}
+
+func (t *totals) reset() {
+	t.quotas.reset()
+	t.work.reset()
+}
+
+// follow takes the totals of a digest and adds their growth to into, which is
+// nil for a sender that is not gone by: its totals are followed all the same, so
+// that nothing is missed or counted twice when it is.
+func (t *totals) follow(d *Digest, into *totals) {
+	for _, q := range d.Quotas {
+		if growth := t.quotas.take(q.Workspace, q.Total); into != nil {
+			into.quotas.add(q.Workspace, growth)
+		}
 	}
+	for _, w := range d.Work {
+		if growth := t.work.take(w.Service, w.Millis); into != nil {
+			into.work.add(w.Service, growth)
+		}
+	}
+}
+
+// lists returns the sums for a digest or a piece of news.
+func (t *totals) lists() ([]Quota, []Work) {
+	var quotas []Quota
+	for k, v := range t.quotas.all {
+		quotas = append(quotas, Quota{Workspace: k, Total: v})
+	}
+	var work []Work
+	for k, v := range t.work.all {
+		work = append(work, Work{Service: k, Millis: v})
+	}
+	return quotas, work
 }
 
 // News is what a digest tells the tables of this VM. What a later piece of news
-// under the same key says takes its place.
+// under the same key says takes its place. Its quotas and work are sums that
+// only grow, whoever tells them.
 type News struct {
-	Key string
-	// Source names whose totals the sums are; where it changes, totals do not
-	// continue those of before.
-	Source      string
-	Incarnation uint64
-	Loads       []Load
+	Key   string
+	Loads []Load
 	Quotas      []Quota
 	Work        []Work
 	Moves       []Move
@@ -128,8 +172,11 @@
 	view   string
 	viewAt time.Time
 	count  int
-	// zoneSource is the hub of each other zone whose sums are gone by.
+	// zoneSource is the hub of each other zone whose sums are gone by, zones what
+	// these have come to, and all what the view's have.
 	zoneSource map[string]string
+	zones      map[string]*totals
+	all        totals
 	holderAt   time.Time
 	holder     string
 	fence      uint64
@@ -137,7 +184,7 @@
 
 // New returns a core that knows only itself.
 func New(cfg Config, self Identity) *Core {
-	return &Core{cfg: cfg, self: self, hash: hash(self.VM), peers: map[string]*peer{}, zoneSource: map[string]string{}}
+	return &Core{cfg: cfg, self: self, hash: hash(self.VM), peers: map[string]*peer{}, zoneSource: map[string]string{}, zones: map[string]*totals{}}
 }
 
 // Know adds a VM that a list names.
@@ -227,8 +274,9 @@
 	if d.Incarnation > p.incarnation {
 		p.incarnation = d.Incarnation
 		p.sequence = map[Kind]uint64{}
-		p.quotas.reset()
-		p.work.reset()
+		p.told.reset()
+		p.zoneTold.reset()
+		p.allTold.reset()
 	}
 	if d.Sequence <= p.sequence[d.Kind] {
 		return News{}, false
@@ -272,42 +320,55 @@
 	switch d.Kind {
 	case Own:
 		p.own, p.ownAt = d, now
-		for _, q := range d.Quotas {
-			p.quotas.take(q.Workspace, q.Total)
-		}
-		for _, w := range d.Work {
-			p.work.take(w.Service, w.Millis)
-		}
-		return News{Key: d.VM, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work, Moves: d.Moves}, true
+		p.told.follow(d, &p.told)
+		return newsOf(d.VM, d, &p.told), true
 	case Zone:
-		p.zone, p.zoneAt = d, now
-		zone := d.AvailabilityZone
-		if source := c.zoneSource[zone]; source != d.PeerAddress {
-			if old := c.peers[source]; old != nil && c.fresh(old.zoneAt, now) {
-				return News{}, true
-			}
-			c.zoneSource[zone] = d.PeerAddress
-		}
-		for _, q := range d.Quotas {
-			p.quotas.take(q.Workspace, q.Total)
-		}
-		for _, w := range d.Work {
-			p.work.take(w.Service, w.Millis)
+		return c.zoneNews(p, d, now), true
+	}
+	return c.allNews(p, d, now), true
+}
+
+func newsOf(key string, d *Digest, sums *totals) News {
+	n := News{Key: key, Loads: d.Loads, Moves: d.Moves}
+	n.Quotas, n.Work = sums.lists()
+	return n
+}
+
+// zoneNews takes the sums of another zone from one of its hubs at a time.
+func (c *Core) zoneNews(p *peer, d *Digest, now time.Time) News {
+	p.zone, p.zoneAt = d, now
+	zone := d.AvailabilityZone
+	if source := c.zoneSource[zone]; source != d.PeerAddress {
+		if old := c.peers[source]; old != nil && c.fresh(old.zoneAt, now) {
+			p.zoneTold.follow(d, nil)
+			return News{}
 		}
-		return News{Key: "zone:" + zone, Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work, Moves: d.Moves}, true
+		c.zoneSource[zone] = d.PeerAddress
+	}
+	if c.zones[zone] == nil {
+		c.zones[zone] = &totals{}
 	}
+	p.zoneTold.follow(d, c.zones[zone])
+	return newsOf("zone:"+zone, d, c.zones[zone])
+}
+
+// allNews takes the sums of all from one hub of the own zone at a time.
+func (c *Core) allNews(p *peer, d *Digest, now time.Time) News {
 	if c.IsMesh(now) || c.isHub(now) {
+		p.allTold.follow(d, nil)
 		c.viewAt = time.Time{}
-		return News{}, true
+		return News{}
 	}
 	if c.view != d.PeerAddress {
 		if old := c.peers[c.view]; old != nil && c.fresh(c.viewAt, now) {
-			return News{}, true
+			p.allTold.follow(d, nil)
+			return News{}
 		}
 		c.view = d.PeerAddress
 	}
 	c.viewAt, c.count = now, d.Count+1
-	return News{Key: "all", Source: d.VM, Incarnation: d.Incarnation, Loads: d.Loads, Quotas: d.Quotas, Work: d.Work, Moves: d.Moves}, true
+	p.allTold.follow(d, &c.all)
+	return newsOf("all", d, &c.all)
 }
 
 // subscribers are the VMs of the zone that tell this one what they do.
@@ -351,7 +412,7 @@
 	return h.Sum64()
 }
 
-func (c *Core) zones() []string {
+func (c *Core) zoneNames() []string {
 	seen := map[string]bool{c.self.AvailabilityZone: true}
 	for _, p := range c.peers {
 		if p.AvailabilityZone != "" {
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -304,13 +304,67 @@
 	}
 }
 
-// TestASilentVMsWorkCountsOnce: a VM of another zone falls silent and comes back.
-func TestASilentVMsWorkCountsOnce(t *testing.T) {
+// TestSumsNeitherShrinkNorJump: VMs admit more and more while hubs and others go
+// down and come back. What any VM knows of the others' sum never shrinks, and
+// never grows by more than was admitted. Found on emac-hokkaido-grown: a VM that
+// fell silent took its whole past out of its zone's sum, and the bucket of every
+// VM was full again.
+func TestSumsNeitherShrinkNorJump(t *testing.T) {
+	w := newWorld(40, 4)
+	random := rand.New(rand.NewPCG(4, 4))
+	w.sent = map[string]int{}
+	admitted := map[*vm]uint64{}
+	known := map[*vm]uint64{}
+	byAddress := map[string]*vm{}
+	for _, v := range w.vms {
+		byAddress[v.id.PeerAddress] = v
+	}
+	all := uint64(0)
+	for step := range 300 {
+		w.now = w.now.Add(period)
+		if step > 30 {
+			v := w.vms[random.IntN(len(w.vms))]
+			v.down = !v.down && random.IntN(3) == 0
+		}
+		for _, v := range w.vms {
+			if v.down {
+				continue
+			}
+			admitted[v] += 100
+			all += 100
+			for _, m := range v.core.Tell(Digest{Quotas: []Quota{{Workspace: 1, Total: admitted[v]}}}, w.now) {
+				w.deliver(v, byAddress[m.To], m)
+			}
+		}
+		for _, v := range w.vms {
+			sum := uint64(0)
+			for key, n := range v.news {
+				if key != "all" {
+					continue
+				}
+				for _, q := range n.Quotas {
+					sum += q.Total
+				}
+			}
+			if sum < known[v] {
+				t.Fatalf("step %d: %s knew %d and now %d", step, v.id.VM, known[v], sum)
+			}
+			known[v] = sum
+			if sum > all {
+				t.Fatalf("step %d: %s knows %d of %d", step, v.id.VM, sum, all)
+			}
+		}
+	}
+}
+
+// TestWhatWasToldCountsOnce: a sum shrinks and grows again.
+func TestWhatWasToldCountsOnce(t *testing.T) {
 	var s sums
+	growth := uint64(0)
 	for _, total := range []uint64{100, 150, 90, 150, 160} {
-		s.take(1, total)
+		growth += s.take(1, total)
 	}
-	if s.all[1] != 60 {
-		t.Fatalf("%d counted of 60", s.all[1])
+	if growth != 60 {
+		t.Fatalf("%d counted of 60", growth)
 	}
 }
--- a/internal/coordination/gossip/tell.go
+++ b/internal/coordination/gossip/tell.go
@@ -90,7 +90,7 @@
 		return out
 	}
 	zone := c.sumZone(own, subscribers)
-	for _, name := range c.zones() {
+	for _, name := range c.zoneNames() {
 		if name == c.self.AvailabilityZone {
 			continue
 		}
@@ -164,11 +164,11 @@
 	}
 }
 
-func (t *total) addSums(p *peer) {
-	for k, v := range p.quotas.all {
+func (t *total) addSums(x *totals) {
+	for k, v := range x.quotas.all {
 		t.quotas[k] += v
 	}
-	for k, v := range p.work.all {
+	for k, v := range x.work.all {
 		t.work[k] += v
 	}
 }
@@ -212,13 +212,13 @@
 	}
 	for k, v := range t.quotas {
 		if without != nil {
-			v -= min(without.quotas.all[k], v)
+			v -= min(without.told.quotas.all[k], v)
 		}
 		d.Quotas = append(d.Quotas, Quota{Workspace: k, Total: v})
 	}
 	for k, v := range t.work {
 		if without != nil {
-			v -= min(without.work.all[k], v)
+			v -= min(without.told.work.all[k], v)
 		}
 		d.Work = append(d.Work, Work{Service: k, Millis: v})
 	}
@@ -232,9 +232,14 @@
 	for _, p := range subscribers {
 		t.addLoads(p.own.Loads)
 		t.addMoves(p.own.Moves)
-		t.addSums(p)
 		t.count++
 	}
+	// What a VM has told counts on while it is silent: sums only grow.
+	for _, p := range c.peers {
+		if p.AvailabilityZone == c.self.AvailabilityZone {
+			t.addSums(&p.told)
+		}
+	}
 	return t.digest(own, Zone, nil)
 }
 
@@ -269,10 +274,12 @@
 		if p := c.peers[source]; p != nil && c.fresh(p.zoneAt, now) {
 			t.addLoads(p.zone.Loads)
 			t.addMoves(p.zone.Moves)
-			t.addSums(p)
 			t.count += p.zone.Count
 		}
 	}
+	for _, sums := range c.zones {
+		t.addSums(sums)
+	}
 	var list []Member
 	if c.sequence%c.cfg.MembersEvery == 0 {
 		list = c.listing(own, subscribers, now)
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -46,8 +46,7 @@
 
 // heard is what a peer has told of one workspace.
 type heard struct {
-	// life names whose sums the total continues.
-	life  string
+	known bool
 	total uint64
 	// assumed is what has been taken out for the peer while it was silent.
 	assumed float64
@@ -182,9 +181,9 @@
 	}
 }
 
-// Hear takes what the VMs behind a name have admitted. Totals of another life
-// do not continue those of before: they are where the next ones count from.
-func (s *Shared) Hear(name, life string, totals map[string]uint64, now time.Time) {
+// Hear takes what the VMs behind a name have admitted: sums that only grow, or
+// shrink by what was given back. The first ones are where the next count from.
+func (s *Shared) Hear(name string, totals map[string]uint64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.buckets {
@@ -195,15 +194,15 @@
 	}
 	for workspace, total := range totals {
 		if b, ok := s.buckets[workspace]; ok {
-			b.hear(name, life, total, s.extra)
+			b.hear(name, total, s.extra)
 		}
 	}
 }
 
-func (b *bucket) hear(name, life string, total uint64, extra float64) {
+func (b *bucket) hear(name string, total uint64, extra float64) {
 	h := b.of(name)
-	if h.life != life {
-		*h = heard{life: life, total: total}
+	if !h.known {
+		h.known, h.total = true, total
 		return
 	}
 	// A refund lowers a total. What was taken out for a silent peer is given back
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -32,7 +32,8 @@
 
 type vm struct {
 	shared *Shared
-	life   int
+	// before is what earlier lives have admitted.
+	before uint64
 	// cut is true while the VM hears nobody and nobody hears it.
 	cut bool
 }
@@ -50,7 +51,9 @@
 
 func (w *world) start(i int) {
 	v := w.vms[i]
-	v.life++
+	if v.shared != nil {
+		v.before += v.shared.Totals()[workspace]
+	}
 	v.shared = New(w.extra)
 	v.shared.Configure(map[string]Limit{workspace: w.limit}, w.now)
 	others := map[string]int{}
@@ -62,13 +65,23 @@
 	v.shared.SetPeers(others, w.now)
 }
 
+// grown adds what earlier lives of the VM have admitted: whoever passes totals on
+// makes sums of them that go on over lives.
+func (v *vm) grown(totals map[string]uint64) map[string]uint64 {
+	out := map[string]uint64{}
+	for name, total := range totals {
+		out[name] = total + v.before
+	}
+	return out
+}
+
 // tell makes every VM tell every other.
 func (w *world) tell() {
 	for i, from := range w.vms {
 		totals := from.shared.Totals()
 		for j, to := range w.vms {
 			if i != j && !from.cut && !to.cut {
-				to.shared.Hear(fmt.Sprint(i), fmt.Sprint(from.life), totals, w.now)
+				to.shared.Hear(fmt.Sprint(i), from.grown(totals), w.now)
 			}
 		}
 	}
--- a/internal/faultlab/process.go
+++ b/internal/faultlab/process.go
@@ -36,7 +36,6 @@
 const settingsText = `[vm]
 name = %s
 availability_zone = %s
-region = region
 grace = 4s
 [listen]
 callers = %s
@@ -73,6 +72,8 @@
 const (
 	firstPort = 20000
 	lastPort  = 32000
+	// portStride keeps runs beside each other apart.
+	portStride = 1009
 )
 
 var ports struct {
@@ -84,7 +85,7 @@
 	ports.Lock()
 	defer ports.Unlock()
 	if ports.next == 0 {
-		ports.next = firstPort + os.Getpid()%1000*7
+		ports.next = firstPort + os.Getpid()*portStride%(lastPort-firstPort)
 	}
 	var out []string
 	for tried := 0; len(out) < count && tried < lastPort-firstPort; tried++ {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,7 +115,7 @@
 	a := freeAddresses(f.t, 5)
 	var set Settings
 	set.Schema()
-	set.VM, set.AvailabilityZone, set.Region = vm, "zone-a", "region"
+	set.VM, set.AvailabilityZone = vm, "zone-a"
 	set.Callers, set.Ready, set.Directory, set.Peers, set.Metrics = a[0], a[1], a[2], a[3], a[4]
 	set.Store, set.Cloud = f.store.Address(), f.store.Address()
 	return set
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -320,8 +320,8 @@
 	}
 	n.backends.hearLoads(news.Key, news.Loads, now)
 	n.moves.hear(news.Key, news.Moves, now)
-	n.quota.Hear(news.Key, news.Source+"/"+time.UnixMilli(int64(news.Incarnation)).UTC().Format(time.RFC3339Nano), m.quotaTotals(news.Quotas), now)
-	n.work.hear(news.Key, news.Source, news.Incarnation, news.Work)
+	n.quota.Hear(news.Key, m.quotaTotals(news.Quotas), now)
+	n.work.hear(news.Key, news.Work)
 }
 
 func (m *members) hearUsage(d *gossip.Digest) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,7 +10,6 @@
 type Settings struct {
 	VM               string
 	AvailabilityZone string
-	Region           string
 
 	Callers   string
 	Ready     string
@@ -27,19 +26,15 @@
 	LinkMbps float64
 	Grace    time.Duration
 
-	RequireFence bool
-	Lease        time.Duration
-	UsageWindow  time.Duration
+	Lease       time.Duration
+	UsageWindow time.Duration
 
 	// RetryRatio and RetrySlack bound the requests that are sent once more,
-	// by all VMs together, in RetryWindow.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// by all VMs together, in a window.
+	RetryRatio float64
+	RetrySlack float64
 	// QuotaSlack is what a workspace may get beyond its quota.
 	QuotaSlack float64
-	// DocumentBound is how soon a document has to be in force.
-	DocumentBound time.Duration
 	// AddressKeep is the longest that callers keep an answer.
 	AddressKeep time.Duration
 }
@@ -49,7 +44,6 @@
 	schema := settings.NewSchema("coltsfoot-gateway")
 	schema.RequiredName("vm", "name", &s.VM, "name of this VM")
 	schema.RequiredName("vm", "availability_zone", &s.AvailabilityZone, "availability zone of this VM")
-	schema.RequiredName("vm", "region", &s.Region, "region of this VM")
 	schema.Number("vm", "memory_mb", &s.MemoryMB, 256, 64, 1<<20, "MB", "memory that the process may use")
 	schema.Number("vm", "link_mbps", &s.LinkMbps, 1000, 0, 1e6, "Mbit/s", "bandwidth of the VM's link")
 	schema.Duration("vm", "grace", &s.Grace, 8*time.Second, time.Second, time.Hour, "time from SIGTERM to the kill")
@@ -61,14 +55,11 @@
 	schema.OptionalText("listen", "seeds", &s.Seeds, "addresses of a few other entry VMs, joined by commas; the port is that of listen.peers")
 	schema.RequiredAddress("platform", "store", &s.Store, "address of the platform's store")
 	schema.RequiredAddress("platform", "cloud", &s.Cloud, "address for orders and usage reports")
-	schema.Bool("duties", "require_fence", &s.RequireFence, true, "the platform refuses orders with an old fence")
 	schema.Duration("duties", "lease", &s.Lease, 3*time.Second, 100*time.Millisecond, time.Hour, "lease of the single duties")
 	schema.Duration("duties", "usage_window", &s.UsageWindow, 5*time.Second, time.Second, time.Hour, "length of a window of usage")
 	schema.Number("retries", "ratio", &s.RetryRatio, 0.2, 0, 1, "share", "retries for each request")
 	schema.Number("retries", "slack", &s.RetrySlack, 50, 0, 1<<20, "requests", "retries without requests, in a window, by all VMs")
-	schema.Duration("retries", "window", &s.RetryWindow, 10*time.Second, time.Second, time.Hour, "window of the retries' bound")
 	schema.Number("quota", "slack", &s.QuotaSlack, 0, 0, 1<<30, "tokens or requests", "what a workspace may get beyond its quota in a window")
-	schema.Duration("document", "bound", &s.DocumentBound, 2*time.Second, 100*time.Millisecond, time.Hour, "time until a document is in force")
-	schema.Duration("document", "address_keep", &s.AddressKeep, 5*time.Second, time.Second, time.Hour, "longest time that callers keep addresses")
+	schema.Duration("listen", "address_keep", &s.AddressKeep, 5*time.Second, time.Second, time.Hour, "longest time that callers keep addresses")
 	return schema
 }
