--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -26,8 +26,8 @@
 
 // demandConfig leaves engines room for prompts that meet on them.
 var demandConfig = fleetplan.DemandConfig{
-	Needed: fleetplan.Level{Utilization: 1.3, FloorShare: 0.25, StartShare: 0.45},
-	Wanted: fleetplan.Level{Utilization: 0.9, FloorShare: 0.3, StartShare: 0.6},
+	Needed: fleetplan.Level{Utilization: 1.3, FloorShare: 0.45, StartShare: 0.45},
+	Wanted: fleetplan.Level{Utilization: 0.9, FloorShare: 0.6, StartShare: 0.6},
 	Window: 3 * time.Second,
 	Hold:   10 * time.Second,
 }
