Read over: one copy of budgets, addresses and the metrics check; dead parts go

retry.Budgets takes the number of sharers, so the gateway's own set of budgets goes. Tests and the fault soak find free addresses in one place (loopback); the gateway's tests had taken ports that the kernel may give away. Gossip finds a zone's hubs once a period, not three times, and adds digests up in one place.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -112,8 +112,9 @@
 // totals are what is told of workspaces' quotas and services' work.
 type totals struct {
 	quotas, work sums
-	// heardQuotas and heardWork are true once a digest has been followed. What the first one tells is
-	// where the next ones count from; what it does not name counts from nothing.
+	// heardQuotas and heardWork are true once a digest has been followed. What the
+	// first one tells is where the next ones count from; what it does not name
+	// counts from nothing.
 	heardQuotas, heardWork bool
 }
 
@@ -448,12 +449,12 @@
 
 // isHub tells whether this VM should be a hub of its zone.
 func (c *Core) isHub(now time.Time) bool {
-	for _, p := range c.hubsOf(c.self.AvailabilityZone, now) {
-		if p.PeerAddress == c.self.PeerAddress {
-			return true
-		}
-	}
-	return false
+	return c.among(c.hubsOf(c.self.AvailabilityZone, now))
+}
+
+// among tells whether this VM is in a list.
+func (c *Core) among(list []*peer) bool {
+	return slices.ContainsFunc(list, func(p *peer) bool { return p.PeerAddress == c.self.PeerAddress })
 }
 
 // IsReader tells whether this VM is to read the store for others.
--- a/internal/coordination/gossip/tell.go
+++ b/internal/coordination/gossip/tell.go
@@ -93,14 +93,15 @@
 // those of other zones and the VMs of its own what all do.
 func (c *Core) tellHubs(own *Digest, now time.Time) []Message {
 	var out []Message
-	for _, p := range c.hubsOf(c.self.AvailabilityZone, now) {
+	hubs := c.hubsOf(c.self.AvailabilityZone, now)
+	for _, p := range hubs {
 		if p.PeerAddress != c.self.PeerAddress && c.worthTelling(p, now) {
 			out = append(out, Message{To: p.PeerAddress, Digest: own})
 		}
 	}
-	out = append(out, c.greet(own, now)...)
+	out = append(out, c.greet(own, hubs, now)...)
 	subscribers := c.subscribers(now)
-	if len(subscribers) == 0 && !c.isHub(now) {
+	if len(subscribers) == 0 && !c.among(hubs) {
 		return out
 	}
 	zone := c.sumZone(own, subscribers)
@@ -123,8 +124,7 @@
 
 // greet tells VMs of the zone what this one does that are not its hubs: all of
 // them at first, and later those that were silent, as they may be back.
-func (c *Core) greet(own *Digest, now time.Time) []Message {
-	hubs := c.hubsOf(c.self.AvailabilityZone, now)
+func (c *Core) greet(own *Digest, hubs []*peer, now time.Time) []Message {
 	var out []Message
 	for _, p := range c.peers {
 		if p.AvailabilityZone != c.self.AvailabilityZone || slices.Contains(hubs, p) {
@@ -187,16 +187,17 @@
 	}
 }
 
-func (t *total) addOwn(own *Digest) {
-	t.addLoads(own.Loads)
-	t.addMoves(own.Moves)
-	for _, q := range own.Quotas {
+// addDigest adds all that a digest tells of so many VMs.
+func (t *total) addDigest(d *Digest, count int) {
+	t.addLoads(d.Loads)
+	t.addMoves(d.Moves)
+	for _, q := range d.Quotas {
 		t.quotas[q.Workspace] += q.Total
 	}
-	for _, w := range own.Work {
+	for _, w := range d.Work {
 		t.work[w.Service] += w.Millis
 	}
-	t.count++
+	t.count += count
 }
 
 // digest writes the total into a copy of own, less what one VM added to it.
@@ -242,7 +243,7 @@
 // sumZone sums what this VM and its subscribers do.
 func (c *Core) sumZone(own *Digest, subscribers []*peer) *Digest {
 	t := newTotal()
-	t.addOwn(own)
+	t.addDigest(own, 1)
 	for _, p := range subscribers {
 		t.addLoads(p.own.Loads)
 		t.addMoves(p.own.Moves)
@@ -275,15 +276,7 @@
 
 func (c *Core) tellSubscribers(own, zone *Digest, subscribers []*peer, now time.Time) []Message {
 	t := newTotal()
-	t.addLoads(zone.Loads)
-	t.addMoves(zone.Moves)
-	for _, q := range zone.Quotas {
-		t.quotas[q.Workspace] += q.Total
-	}
-	for _, w := range zone.Work {
-		t.work[w.Service] += w.Millis
-	}
-	t.count = zone.Count
+	t.addDigest(zone, zone.Count)
 	for _, source := range c.zoneSource {
 		if p := c.peers[source]; p != nil && c.fresh(p.zoneAt, now) {
 			t.addLoads(p.zone.Loads)
--- a/internal/coordinator/metrics_test.go
+++ b/internal/coordinator/metrics_test.go
@@ -1,23 +1,12 @@
 package coordinator
 
 import (
-	"os"
-	"strings"
 	"testing"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/platform"
-	"coltsfootpath.example/coltsfootpath/internal/metrics"
+	"coltsfootpath.example/coltsfootpath/internal/metrics/metricstest"
 )
 
-// TestMetricsAreDocumented wants a row in docs/METRICS.md for each metric.
 func TestMetricsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/METRICS.md")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, row := range metrics.Describe(newCoordinator(Settings{}, Outside{Clock: platform.SystemClock{}}).registry) {
-		if !strings.Contains(string(page), row+"\n") {
-			t.Errorf("docs/METRICS.md lacks\n%s", row)
-		}
-	}
+	metricstest.Documented(t, newCoordinator(Settings{}, Outside{Clock: platform.SystemClock{}}).registry)
 }
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -1,23 +1,12 @@
 package entry
 
 import (
-	"os"
-	"strings"
 	"testing"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/platform"
-	"coltsfootpath.example/coltsfootpath/internal/metrics"
+	"coltsfootpath.example/coltsfootpath/internal/metrics/metricstest"
 )
 
-// TestMetricsAreDocumented wants a row in docs/METRICS.md for each metric.
 func TestMetricsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/METRICS.md")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, row := range metrics.Describe(newNode(Settings{MaxOpen: 1, Workers: 1}, Outside{Clock: platform.SystemClock{}}).metrics.registry) {
-		if !strings.Contains(string(page), row+"\n") {
-			t.Errorf("docs/METRICS.md lacks\n%s", row)
-		}
-	}
+	metricstest.Documented(t, newNode(Settings{MaxOpen: 1, Workers: 1}, Outside{Clock: platform.SystemClock{}}).metrics.registry)
 }
--- a/internal/faultlab/process.go
+++ b/internal/faultlab/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,12 +11,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"coltsfootpath.example/coltsfootpath/internal/loopback"
 )
 
 // entryVM is one real process of the system.
 type entryVM struct {
 	name     string
-	zone     string
 	binary   string
 	settings string
 	logPath  string
@@ -30,7 +30,6 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	paused bool
 }
 
 const settingsText = `[vm]
@@ -55,58 +54,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy of the store")
 	}
-	a, err := freeAddresses(5)
+	a, err := loopback.FreeAddresses(5)
 	if err != nil {
 		return nil, err
 	}
 	v := &entryVM{
-		name: name, zone: zone, binary: binary, store: p, callers: a[0], ready: a[1],
+		name: name, binary: binary, store: p, callers: a[0], ready: a[1],
 		settings: filepath.Join(dir, name+".ini"), logPath: filepath.Join(dir, name+".log"),
 	}
 	text := fmt.Sprintf(settingsText, name, zone, a[0], a[1], a[2], a[3], a[4], p.address(), p.address())
 	return v, errors.Wrap(os.WriteFile(v.settings, []byte(text), 0o600), "write settings")
 }
 
-// Ports are taken below the range that the kernel gives to outgoing
-// connections, so that none is taken away while a process is down.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-	// portStride keeps runs beside each other apart.
-	portStride = 1009
-)
-
-var ports struct {
-	sync.Mutex
-	next int
-}
-
-func freeAddresses(count int) ([]string, error) {
-	ports.Lock()
-	defer ports.Unlock()
-	if ports.next == 0 {
-		ports.next = firstPort + os.Getpid()*portStride%(lastPort-firstPort)
-	}
-	var out []string
-	for tried := 0; len(out) < count && tried < lastPort-firstPort; tried++ {
-		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
-		ports.next++
-		if ports.next >= lastPort {
-			ports.next = firstPort
-		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		out = append(out, address)
-	}
-	if len(out) < count {
-		return nil, errors.New("no free ports")
-	}
-	return out, nil
-}
-
 func (v *entryVM) start() error {
 	out, err := os.OpenFile(v.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -126,7 +85,7 @@
 	}()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.cmd, v.exited, v.paused = cmd, exited, false
+	v.cmd, v.exited = cmd, exited
 	return nil
 }
 
@@ -135,7 +94,6 @@
 	defer v.mu.Unlock()
 	if v.cmd != nil && v.cmd.Process != nil {
 		_ = v.cmd.Process.Signal(s)
-		v.paused = s == syscall.SIGSTOP || v.paused && s != syscall.SIGCONT
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -141,7 +141,7 @@
 		q.finish(endNotSent, "no-server")
 		return true
 	}
-	if q.sends > 0 && !n.retries.take(q.service) {
+	if q.sends > 0 && !n.retries.Take(q.service) {
 		n.backends.release(p)
 		q.finish(endNotSent, "retry-budget")
 		return true
@@ -242,7 +242,7 @@
 	q.sends++
 	q.lastServer = p.server.info.ID
 	if q.sends == 1 {
-		q.node.retries.first(q.service)
+		q.node.retries.First(q.service)
 	}
 	if p.load.Memory > 0 {
 		q.node.work.add(q.service, placement.DefaultCost.Work(p.choice.Uncached, q.answerTokens()))
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -52,7 +52,6 @@
 	own       placement.Load
 	cached    map[uint64]time.Time
 	fullUntil time.Time
-	sent      int64
 }
 
 // backendTable holds all backend servers. Its lock is taken before the locks of
@@ -220,12 +219,11 @@
 
 // pick is a server chosen for an attempt, with the load that it was given.
 type pick struct {
-	server   *backend
-	choice   placement.Choice
-	load     placement.Load
-	prefill  bool
-	health   health.Key
-	released bool
+	server  *backend
+	choice  placement.Choice
+	load    placement.Load
+	prefill bool
+	health  health.Key
 }
 
 // wanted is what an attempt asks of the table.
@@ -235,8 +233,7 @@
 	parts   []platform.Part
 	zone    string
 	avoid   map[string]bool
-	// prefer tells which servers are of the version that the request goes to,
-	// nil where any is. Others are used only if forced allows it.
+	// prefer tells which servers are of the version that the request goes to.
 	prefer versionChoice
 }
 
@@ -304,12 +301,13 @@
 func (t *backendTable) candidate(b *backend, w *wanted, peers placement.Load, now time.Time) placement.Candidate {
 	load := b.own
 	load.Add(peers)
+	key := healthKey(&b.info)
 	c := placement.Candidate{
 		Hash:   b.hash,
 		Load:   load,
 		Slots:  b.info.Slots,
-		Slow:   t.health.Slowdown(healthKey(&b.info), now),
-		Weight: t.health.Weight(healthKey(&b.info), now),
+		Slow:   t.health.Slowdown(key, now),
+		Weight: t.health.Weight(key, now),
 		Near:   b.info.AvailabilityZone == w.zone,
 	}
 	for _, p := range w.parts {
@@ -334,7 +332,6 @@
 		p.load = placement.Load{Running: 1}
 	}
 	b.own.Add(p.load)
-	b.sent++
 	for _, part := range w.parts {
 		if len(b.cached) >= maxCachedParts {
 			break
@@ -355,14 +352,10 @@
 	}
 }
 
-// release takes the attempt off the server.
+// release takes the attempt off the server. It is called once.
 func (t *backendTable) release(p *pick) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p.released {
-		return
-	}
-	p.released = true
 	p.server.own.Add(placement.Load{Prefill: -p.load.Prefill, Running: -p.load.Running, Memory: -p.load.Memory})
 }
 
@@ -372,12 +365,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p.server.fullUntil = now.Add(fullFor)
-	t.forget(p.server, parts)
-}
-
-// forget drops the last part of a prompt that was not read.
-func (t *backendTable) forget(b *backend, parts []platform.Part) {
 	if len(parts) > 0 {
-		delete(b.cached, parts[len(parts)-1].ID)
+		delete(p.server.cached, parts[len(parts)-1].ID)
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -86,7 +86,7 @@
 		case errors.Is(err, platform.ErrGone):
 			f.node.log.Event("store", "records-gone", "topic", f.topic, "from", f.end())
 			f.fresh = false
-		case f.nudged(err):
+		case errors.Is(err, errNudged):
 		default:
 			f.failed(err)
 			f.await(ctx, min(followBackoff<<min(f.failing, 4), followBackoffMax))
@@ -97,8 +97,6 @@
 // errNudged ends a read because a peer has read further.
 var errNudged = errors.New("a peer has read further")
 
-func (f *follower) nudged(err error) bool { return errors.Is(err, errNudged) }
-
 func (f *follower) await(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/loopback"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
 	"coltsfootpath.example/coltsfootpath/platform"
 	"coltsfootpath.example/coltsfootpath/platform/platformtest"
@@ -92,27 +93,11 @@
 	return func(int, platformtest.Run) platformtest.Ending { return e }
 }
 
-// freeAddresses returns loopback addresses that nothing listens on.
-func freeAddresses(t *testing.T, count int) []string {
-	t.Helper()
-	var out []string
-	var listeners []net.Listener
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
-	}
-	for _, l := range listeners {
-		_ = l.Close()
-	}
-	return out
-}
-
 func (f *fixture) settings(vm string) Settings {
-	a := freeAddresses(f.t, 5)
+	a, err := loopback.FreeAddresses(5)
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	var set Settings
 	set.Schema()
 	set.VM, set.AvailabilityZone = vm, "zone-a"
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -75,7 +75,7 @@
 	backends *backendTable
 	health   *health.Table
 	quota    *quota.Shared
-	retries  *retryBudgets
+	retries  *retry.Budgets
 	usage    *usage.Table
 	members  *members
 	operator *follower
@@ -141,7 +141,7 @@
 	n.pool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.moves = newVersionMoves(n)
-	n.retries = newRetryBudgets(retry.Config{
+	n.retries = retry.NewSharedBudgets(retry.Config{
 		Ratio:   set.RetryRatio * retryShare,
 		Reserve: set.RetrySlack * retryShare,
 	}, n.members.count)
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -10,12 +10,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/internal/caller"
+	"coltsfootpath.example/coltsfootpath/internal/loopback"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/callerapi"
 	"coltsfootpath.example/coltsfootpath/internal/standin/engine"
 )
@@ -40,28 +40,13 @@
 	commands           map[string]*exec.Cmd
 }
 
-// Ports are taken below the range that the kernel gives to outgoing
-// connections, so that none of them takes a port before its process does.
-const (
-	firstPort = 12_000
-	lastPort  = 32_000
-)
-
-var nextPort atomic.Uint32
-
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	const ports = lastPort - firstPort
-	for range ports {
-		n := uint32(os.Getpid()*37) + nextPort.Add(1)
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%ports)
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
+	a, err := loopback.FreeAddresses(1)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return a[0]
 }
 
 func (f *fleet) start(name, binary string, args ...string) {
