A dead holder of the duties is succeeded within its lease

Every VM looked once a second, and five times a second where the store refused it. Change: holders tell where the log ends. A successor whose first read shows the same end counts the silence from when it heard that. VMs that read for others look first, the others a lease later; a look that fails is repeated after a third of a lease; between the first look and the claim nobody looks. Test: TestAHolderThatWasHeardOfIsReplacedWithinItsLease, and words in the rapid machine of TestHoldersDoNotOverlap (30,000 runs).

--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -108,8 +108,12 @@
 	// heardAt is when the holder was last heard of, by a peer's message or by a
 	// record that is new to this VM.
 	heardAt time.Time
-	// lookedAt is when the log was last read, silentFrom when it first showed
-	// no news of the holder.
+	// wordFence, wordEnd and wordAt are what the holder was last heard to say of
+	// the log's end, and when it was first heard to.
+	wordFence, wordEnd uint64
+	wordAt             time.Time
+	// lookedAt is when the log was last read, silentFrom the time since which it
+	// has shown no news of the holder.
 	lookedAt   time.Time
 	silentFrom time.Time
 }
@@ -127,9 +131,21 @@
 	return m.held, m.held != 0 && now.Sub(m.renewedAt) < m.cfg.Lease-m.cfg.Margin
 }
 
-// HeardOf takes word of the highest fence known, and of when its holder last
-// said that it holds the duties.
-func (m *Machine) HeardOf(fence uint64, at, now time.Time) {
+// Word is what a holder says of itself, as peers pass it on.
+type Word struct {
+	Fence uint64
+	// End is where the log ended when the holder last wrote to it.
+	End uint64
+	// At is when the holder said so, or later.
+	At time.Time
+}
+
+// HeardOf takes the newest word of the holder with the highest fence known.
+func (m *Machine) HeardOf(w Word, now time.Time) {
+	fence, at := w.Fence, w.At
+	if w.Fence > m.wordFence || w.Fence == m.wordFence && w.End > m.wordEnd {
+		m.wordFence, m.wordEnd, m.wordAt = w.Fence, w.End, w.At
+	}
 	if m.held != 0 && fence > m.held {
 		m.held = 0
 		m.heardAt = now
@@ -152,23 +168,35 @@
 	m.silentFrom = time.Time{}
 }
 
-// Next tells what to do.
-func (m *Machine) Next(now time.Time) Do {
+// Next tells what to do. A patient VM leaves it to others to succeed a holder
+// for a lease longer: they need not all ask the log.
+func (m *Machine) Next(now time.Time, patient bool) Do {
 	if m.held != 0 {
 		if now.Sub(m.renewedAt) >= m.cfg.Lease/3 {
 			return Renew
 		}
 		return Wait
 	}
-	if now.Sub(m.heardAt) < m.cfg.Quiet {
+	quiet := m.cfg.Quiet
+	if patient {
+		quiet += m.cfg.Lease
+	}
+	if now.Sub(m.heardAt) < quiet {
 		return Wait
 	}
-	if m.lookedAt.IsZero() || now.Sub(m.lookedAt) >= m.cfg.Lease/3 {
-		return Look
+	due := m.lookedAt.Add(m.cfg.Lease / 3)
+	if claim := m.silentFrom.Add(m.cfg.Lease + m.cfg.Margin); !m.silentFrom.IsZero() && m.lookedAt.Before(claim) {
+		due = claim
 	}
-	return Wait
+	if now.Before(due) {
+		return Wait
+	}
+	return Look
 }
 
+// NotLooked notes that the log could not be read.
+func (m *Machine) NotLooked(now time.Time) { m.lookedAt = now }
+
 // Looked takes the records that a read from State.End brought, and tells
 // whether to claim.
 func (m *Machine) Looked(records []Record, now time.Time) Do {
@@ -182,10 +210,15 @@
 		// A claim of this VM's own, of an earlier life or one whose answer was
 		// lost, stands for nobody else.
 		return Claim
-	case len(records) > 0 || m.silentFrom.IsZero():
+	}
+	if len(records) > 0 || m.silentFrom.IsZero() {
 		m.silentFrom = now
-		return Wait
-	case now.Sub(m.silentFrom) >= m.cfg.Lease+m.cfg.Margin:
+	}
+	// The holder has written nothing since it was heard to say where the log ends.
+	if m.wordFence == m.state.Fence && m.wordEnd == m.state.End && m.wordAt.Before(m.silentFrom) {
+		m.silentFrom = m.wordAt
+	}
+	if now.Sub(m.silentFrom) >= m.cfg.Lease+m.cfg.Margin {
 		return Claim
 	}
 	return Wait
--- a/internal/coordination/duty/duty_test.go
+++ b/internal/coordination/duty/duty_test.go
@@ -26,16 +26,18 @@
 	vms []*vm
 	// flying are appends that have been sent and not yet arrived.
 	flying []flight
-	// acted is the last action of any VM, by fence.
-	acts []act
+	// words are what holders have said; VMs hear them late and out of turn.
+	words []Word
+	acts  []act
 }
 
 type vm struct {
 	machine *Machine
 	life    uint64
 	// frozen VMs do nothing until then.
-	frozen time.Time
-	waits  bool
+	frozen  time.Time
+	waits   bool
+	patient bool
 }
 
 type flight struct {
@@ -67,7 +69,7 @@
 		return
 	}
 	m := v.machine
-	switch m.Next(w.now) {
+	switch m.Next(w.now, v.patient) {
 	case Look:
 		if m.Looked(w.read(m), w.now) == Claim {
 			w.send(i, m.Record(true))
@@ -119,10 +121,22 @@
 		}
 		if fence, ok := v.machine.Held(w.now); ok {
 			w.acts = append(w.acts, act{i, fence, w.now})
+			w.words = append(w.words, Word{Fence: fence, End: v.machine.State().End, At: w.now})
 		}
 	}
 }
 
+// hear passes a holder's word on to a VM. The time on its way makes it look
+// newer than it is.
+func (w *world) hear(i int) {
+	if len(w.words) == 0 || w.now.Before(w.vms[i].frozen) {
+		return
+	}
+	word := w.words[rapid.IntRange(max(len(w.words)-20, 0), len(w.words)-1).Draw(w.t, "word")]
+	word.At = word.At.Add(min(time.Duration(rapid.IntRange(0, 200).Draw(w.t, "way"))*time.Millisecond, w.now.Sub(word.At)))
+	w.vms[i].machine.HeardOf(word, w.now)
+}
+
 // TestHoldersDoNotOverlap: whatever is held up, lost, frozen or started again,
 // no VM acts under a fence once another has acted under a higher one, two VMs
 // never share a fence, and holders never act in the order A, B, A within a lease.
@@ -130,7 +144,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t, now: begin}
 		for i := range rapid.IntRange(1, 4).Draw(t, "vms") {
-			w.vms = append(w.vms, &vm{})
+			w.vms = append(w.vms, &vm{patient: rapid.Bool().Draw(t, "patient")})
 			w.start(i)
 		}
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
@@ -141,6 +155,8 @@
 				w.start(i)
 			case 1:
 				w.vms[i].frozen = w.now.Add(time.Duration(rapid.IntRange(1, 8).Draw(t, "freeze")) * time.Second)
+			case 2, 3, 4, 5, 6, 7, 8:
+				w.hear(i)
 			}
 			for i := range w.vms {
 				w.step(i)
@@ -211,6 +227,59 @@
 	})
 }
 
+// TestAHolderThatWasHeardOfIsReplacedWithinItsLease: peers had heard from the
+// holder where the log ends until it was cut off. Seen on emac-hokkaido-grown
+// scale-2, where the first look at the log began the wait anew: nobody held the
+// duties for 9 s.
+func TestAHolderThatWasHeardOfIsReplacedWithinItsLease(t *testing.T) {
+	m := NewMachine(config, "b", 1, begin)
+	log := []Record{{VM: "a", Incarnation: 1, Claim: true}, {VM: "a", Incarnation: 1}, {VM: "a", Incarnation: 1}}
+	m.HeardOf(Word{Fence: 1, End: 3, At: begin}, begin)
+	for now := begin; ; now = now.Add(100 * time.Millisecond) {
+		if m.Next(now, false) == Look {
+			do := m.Looked(log, now)
+			log = nil
+			if do == Claim {
+				if late := now.Sub(begin) - config.Lease - config.Margin; late > 0 {
+					t.Fatalf("claimed %s later than the lease allows", late)
+				}
+				return
+			}
+		}
+		if now.Sub(begin) > time.Minute {
+			t.Fatal("never claimed")
+		}
+	}
+}
+
+// TestAHolderThatStillWritesIsNotReplaced: it is cut off from its peers alone.
+func TestAHolderThatStillWritesIsNotReplaced(t *testing.T) {
+	m := NewMachine(config, "b", 1, begin)
+	m.HeardOf(Word{Fence: 1, End: 1, At: begin}, begin)
+	m.Looked([]Record{{VM: "a", Incarnation: 1, Claim: true}}, begin)
+	for now := begin; now.Sub(begin) < time.Minute; now = now.Add(time.Second) {
+		if m.Next(now, false) == Look && m.Looked([]Record{{VM: "a", Incarnation: 1}}, now) == Claim {
+			t.Fatalf("claimed after %s", now.Sub(begin))
+		}
+	}
+}
+
+// TestALogThatCannotBeReadIsNotAskedAllTheTime: calls to a store that is away
+// are dear, too.
+func TestALogThatCannotBeReadIsNotAskedAllTheTime(t *testing.T) {
+	m := NewMachine(config, "b", 1, begin)
+	looks := 0
+	for now := begin; now.Sub(begin) < 10*time.Second; now = now.Add(100 * time.Millisecond) {
+		if m.Next(now, false) == Look {
+			looks++
+			m.NotLooked(now)
+		}
+	}
+	if most := int(10*time.Second/(config.Lease/3)) + 1; looks > most {
+		t.Fatalf("%d looks in 10 s, more than %d", looks, most)
+	}
+}
+
 // TestOldWordOfAHolderIsNoSignOfLife: peers pass on when they last heard of the
 // holder, and the way there makes it look newer by a little each time. Seen on
 // detsporenie-tt scale-2: a holder that was cut off kept the duties for 12 s.
@@ -221,8 +290,8 @@
 	claimed := false
 	for now := begin; now.Sub(begin) < 8*time.Second && !claimed; now = now.Add(200 * time.Millisecond) {
 		heard = heard.Add(2 * time.Millisecond)
-		m.HeardOf(1, heard, now)
-		if m.Next(now) == Look {
+		m.HeardOf(Word{Fence: 1, At: heard}, now)
+		if m.Next(now, false) == Look {
 			claimed = m.Looked(nil, now) == Claim
 		}
 	}
--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -189,6 +189,7 @@
 	zones      map[string]*totals
 	all        totals
 	holderAt   time.Time
+	holderEnd  uint64
 	holder     string
 	fence      uint64
 }
@@ -317,14 +318,22 @@
 	// The time on the way makes word look newer than it is: what VMs tell each
 	// other in turn must not stay young for ever.
 	if d.Fence > c.fence || at.Sub(c.holderAt) > c.cfg.Transit {
-		c.fence, c.holder, c.holderAt = d.Fence, d.HolderAddress, at
+		c.fence, c.holder, c.holderAt, c.holderEnd = d.Fence, d.HolderAddress, at, d.HolderEnd
 	}
 }
 
-// Holder returns who holds the duties under which fence, and when it last said
-// so.
-func (c *Core) Holder() (address string, fence uint64, at time.Time) {
-	return c.holder, c.fence, c.holderAt
+// Word is what the holder of the duties last said.
+type Word struct {
+	Address string
+	Fence   uint64
+	// End is where the log of duties ended, At when the holder said so.
+	End uint64
+	At  time.Time
+}
+
+// Holder returns the newest word of the holder with the highest fence.
+func (c *Core) Holder() Word {
+	return Word{Address: c.holder, Fence: c.fence, End: c.holderEnd, At: c.holderAt}
 }
 
 func (c *Core) news(p *peer, d *Digest, now time.Time) (News, bool) {
--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -50,6 +50,8 @@
 	// HolderAgeMillis the time since it last said so.
 	HolderAddress   string
 	HolderAgeMillis uint64
+	// HolderEnd is where the holder said then that the log of duties ends.
+	HolderEnd uint64
 	// DocumentEnd and ServersEnd say how far the sender has read the store.
 	DocumentEnd uint64
 	ServersEnd  uint64
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -261,7 +261,7 @@
 		for _, v := range w.vms {
 			own := Digest{}
 			if v == holder {
-				own.Fence, own.HolderAddress = 9, v.id.PeerAddress
+				own.Fence, own.HolderAddress, own.HolderEnd = 9, v.id.PeerAddress, 44
 			}
 			for _, m := range v.core.Tell(own, w.now) {
 				w.deliver(v, byAddress[m.To], m)
@@ -269,9 +269,9 @@
 		}
 	}
 	for _, v := range w.vms {
-		address, fence, at := v.core.Holder()
-		if v != holder && (address != holder.id.PeerAddress || fence != 9 || w.now.Sub(at) > 5*period) {
-			t.Errorf("%s: holder %q, fence %d, %v ago", v.id.VM, address, fence, w.now.Sub(at))
+		word := v.core.Holder()
+		if v != holder && (word.Address != holder.id.PeerAddress || word.Fence != 9 || word.End != 44 || w.now.Sub(word.At) > 5*period) {
+			t.Errorf("%s: %+v, %v ago", v.id.VM, word, w.now.Sub(word.At))
 		}
 	}
 }
@@ -298,8 +298,8 @@
 		}
 	}
 	for _, v := range w.vms {
-		if _, _, at := v.core.Holder(); at.Sub(died) > time.Second {
-			t.Errorf("%s: word of the holder is %v younger than it is", v.id.VM, at.Sub(died))
+		if word := v.core.Holder(); word.At.Sub(died) > time.Second {
+			t.Errorf("%s: word of the holder is %v younger than it is", v.id.VM, word.At.Sub(died))
 		}
 	}
 }
--- a/internal/coordination/gossip/tell.go
+++ b/internal/coordination/gossip/tell.go
@@ -19,7 +19,7 @@
 	c.forgetAfterPause(now)
 	own.Identity, own.Kind, own.Sequence = c.self, Own, c.sequence
 	if own.HolderAddress == "" {
-		own.HolderAddress, own.Fence = c.holder, max(own.Fence, c.fence)
+		own.HolderAddress, own.HolderEnd, own.Fence = c.holder, c.holderEnd, max(own.Fence, c.fence)
 		own.HolderAgeMillis = uint64(max(now.Sub(c.holderAt).Milliseconds(), 0))
 	}
 	if c.IsMesh(now) {
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -63,20 +63,19 @@
 	return d.node.clock.unixMillis(now) / d.node.set.UsageWindow.Milliseconds()
 }
 
-// fence returns the highest fence known, and whether this VM holds it.
-func (d *duties) fence(now time.Time) (uint64, bool) {
+// tenure returns this VM's fence and where the log of duties ends, while it
+// holds the duties.
+func (d *duties) tenure(now time.Time) (fence, end uint64, holds bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if fence, ok := d.machine.Held(now); ok {
-		return fence, true
-	}
-	return d.machine.State().Fence, false
+	fence, holds = d.machine.Held(now)
+	return fence, d.machine.State().End, holds
 }
 
-func (d *duties) heard(fence uint64, at, now time.Time) {
+func (d *duties) heard(w duty.Word, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.machine.HeardOf(fence, at, now)
+	d.machine.HeardOf(w, now)
 }
 
 func (d *duties) run(ctx context.Context) {
@@ -90,8 +89,9 @@
 
 func (d *duties) step(ctx context.Context) {
 	now := d.node.now()
+	patient := !d.node.members.isReader()
 	d.mu.Lock()
-	next := d.machine.Next(now)
+	next := d.machine.Next(now, patient)
 	d.mu.Unlock()
 	switch next {
 	case duty.Look:
@@ -160,12 +160,13 @@
 
 func (d *duties) look(ctx context.Context) duty.Do {
 	records, err := d.read(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err != nil {
 		d.node.log.Failure("duties", "not-read", "error", err)
+		d.machine.NotLooked(d.node.now())
 		return duty.Wait
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	do := d.machine.Looked(records, d.node.now())
 	s := d.machine.State()
 	d.node.log.Event("duties", "looked", "records", len(records), "end", s.End, "holder", s.Holder.VM, "fence", s.Fence, "claims", do == duty.Claim)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/duty"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
@@ -200,7 +201,7 @@
 	m.mu.Lock()
 	own.DocumentEnd, own.ServersEnd = m.documentEnd, m.serversEnd
 	messages := m.core.Tell(own, now)
-	holder, _, _ := m.core.Holder()
+	holder := m.core.Holder().Address
 	isMesh := m.core.IsMesh(now)
 	m.mu.Unlock()
 	encoded := map[*gossip.Digest][]byte{}
@@ -251,8 +252,8 @@
 		Loads:      n.backends.ownLoads(),
 	}
 	d.Ready, d.Draining = n.Ready(), n.draining.Load()
-	if fence, holds := n.duties.fence(now); holds {
-		d.Fence, d.HolderAddress = fence, n.set.Peers
+	if fence, end, holds := n.duties.tenure(now); holds {
+		d.Fence, d.HolderEnd, d.HolderAddress = fence, end, n.set.Peers
 	}
 	for name, total := range n.quota.Totals() {
 		d.Quotas = append(d.Quotas, gossip.Quota{Workspace: shortHash(name), Total: total})
@@ -307,13 +308,13 @@
 	}
 	m.mu.Lock()
 	news, taken := m.core.Hear(d, now)
-	_, fence, heldAt := m.core.Holder()
+	word := m.core.Holder()
 	m.mu.Unlock()
 	if !taken {
 		return
 	}
 	n.clock.hear(d.VM, d.WallMillis, now)
-	n.duties.heard(fence, heldAt, now)
+	n.duties.heard(duty.Word{Fence: word.Fence, End: word.End, At: word.At}, now)
 	n.nudge(d)
 	if news.Key == "" {
 		return
@@ -376,6 +377,13 @@
 	return !m.core.IsReader(now) && m.core.ToldOfStore(now)
 }
 
+// isReader tells whether this VM is one of those that read the store for others.
+func (m *members) isReader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.IsReader(m.node.now())
+}
+
 // furthest returns the peer that has read furthest in a topic.
 func (m *members) furthest(topic string) (string, uint64) {
 	m.mu.Lock()
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -35,6 +35,7 @@
 	fieldUsage
 	fieldMember
 	fieldMove
+	fieldHolderEnd
 )
 
 const (
@@ -76,6 +77,7 @@
 	b = number(b, fieldFence, d.Fence)
 	b = text(b, fieldHolder, d.HolderAddress)
 	b = number(b, fieldHolderAge, d.HolderAgeMillis)
+	b = number(b, fieldHolderEnd, d.HolderEnd)
 	b = number(b, fieldDocumentEnd, d.DocumentEnd)
 	b = number(b, fieldServersEnd, d.ServersEnd)
 	b = number(b, fieldKind, uint64(d.Kind))
@@ -182,6 +184,8 @@
 			d.HolderAddress = string(bytes)
 		case fieldHolderAge:
 			d.HolderAgeMillis = bounded(v)
+		case fieldHolderEnd:
+			d.HolderEnd = v
 		case fieldDocumentEnd:
 			d.DocumentEnd = v
 		case fieldServersEnd:
