Servers of the old version do not count once a move is done

Change: for ten seconds after a move only servers of its target count; servers of a version that was taken back don't. Test: TestOldServersDoNotCountOnceDone.

--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -125,6 +125,8 @@
 	Target  string
 	Within  time.Duration
 	SeenAt  time.Time
+	// EndedAt is when this VM learned that the move is done or taken back.
+	EndedAt time.Time
 	Phase   Phase
 	Own     Evidence
 }
@@ -154,7 +156,7 @@
 }
 
 // Heard takes a phase that another VM knows of, and tells whether it is new.
-func (t *Table) Heard(service string, order uint64, p Phase) bool {
+func (t *Table) Heard(service string, order uint64, p Phase, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[service]
@@ -162,9 +164,32 @@
 		return false
 	}
 	m.Phase = p
+	if p >= Done {
+		m.EndedAt = now
+	}
 	return true
 }
 
+// oldGone is how long after a move is done servers of the old version are still
+// listed: they stop at once, and silent ones are listed for some heartbeats.
+const oldGone = 10 * time.Second
+
+// Stays tells whether a server of a version is one of those that the service
+// keeps: while a move is under way the new ones are the operator's, and once it
+// is done the old ones stop without draining.
+func (t *Table) Stays(service, version string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.moves[service]
+	if !ok {
+		return true
+	}
+	if m.Phase == Done {
+		return version == m.Target || now.Sub(m.EndedAt) > oldGone
+	}
+	return version != m.Target
+}
+
 // Moves returns all moves.
 func (t *Table) Moves() []Move {
 	t.mu.Lock()
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -83,13 +83,13 @@
 		phases := rapid.SliceOf(rapid.IntRange(0, int(TakenBack))).Draw(t, "phases")
 		for _, p := range phases {
 			before := a.Moves()[0].Phase
-			a.Heard("s", 3, Phase(p))
+			a.Heard("s", 3, Phase(p), time.Time{})
 			if a.Moves()[0].Phase < before {
 				t.Fatal("a phase went back")
 			}
 		}
 		for _, p := range rapid.Permutation(phases).Draw(t, "order") {
-			b.Heard("s", 3, Phase(p))
+			b.Heard("s", 3, Phase(p), time.Time{})
 		}
 		if a.Moves()[0].Phase != b.Moves()[0].Phase {
 			t.Fatal("phases differ")
@@ -106,7 +106,7 @@
 	if side, _ := table.Choose("s", 0, many); side != Old {
 		t.Error("the new version gets requests before the trial")
 	}
-	table.Heard("s", 1, Trial)
+	table.Heard("s", 1, Trial, time.Time{})
 	share := 0
 	for i := range 1000 {
 		if side, _ := table.Choose("s", float64(i)/1000, many); side == New {
@@ -116,8 +116,37 @@
 	if share < 50 || share > 100 {
 		t.Errorf("%d of 1000 on trial", share)
 	}
-	table.Heard("s", 1, TakenBack)
+	table.Heard("s", 1, TakenBack, time.Time{})
 	if side, _ := table.Choose("s", 0, many); side != Old {
 		t.Error("the new version gets requests after the move is taken back")
 	}
 }
+
+// TestOldServersDoNotCountOnceDone: they stop at once, while their entries are
+// still listed. Seen on detsporenie-tt-grown trouble-1, where the new servers
+// were ordered away because the old ones counted, and none was left.
+func TestOldServersDoNotCountOnceDone(t *testing.T) {
+	table := NewTable(DefaultConfig)
+	stays := func(version string, after time.Duration) bool {
+		return table.Stays("s", version, time.Time{}.Add(after))
+	}
+	if !stays("v1", 0) {
+		t.Error("without a move a server does not count")
+	}
+	table.Ordered(1, "s", "v2", 10*time.Second, time.Time{})
+	if !stays("v1", 0) || stays("v2", 0) {
+		t.Error("during a move the operator's servers count, or the service's do not")
+	}
+	table.Heard("s", 1, Done, time.Time{})
+	if stays("v1", time.Second) || !stays("v2", time.Second) {
+		t.Error("old servers count once the move is done, or new ones do not")
+	}
+	if !stays("v3", time.Minute) {
+		t.Error("servers of a later version do not count")
+	}
+	table.Ordered(2, "s", "v3", 10*time.Second, time.Time{})
+	table.Heard("s", 2, TakenBack, time.Time{})
+	if !stays("v2", time.Second) || stays("v3", time.Second) {
+		t.Error("servers of a version that was taken back count")
+	}
+}
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -100,17 +100,6 @@
 	return versionChoice{side: side, target: target}
 }
 
-// target returns the version that a service is being moved to, empty where no
-// move is under way.
-func (v *versionMoves) target(service string) string {
-	for _, m := range v.table.Moves() {
-		if m.Service == service && m.Phase < rollout.Done {
-			return m.Target
-		}
-	}
-	return ""
-}
-
 // answered counts the end of an attempt as evidence.
 func (v *versionMoves) answered(s *site.Server, e end) {
 	switch e {
@@ -140,7 +129,7 @@
 	v.mu.Unlock()
 	for _, known := range v.table.Moves() {
 		for _, m := range moves {
-			if m.Service == shortHash(known.Service) && v.table.Heard(known.Service, m.Order, rollout.Phase(m.Phase)) {
+			if m.Service == shortHash(known.Service) && v.table.Heard(known.Service, m.Order, rollout.Phase(m.Phase), now) {
 				v.node.log.Event("moves", "phase-heard", "service", known.Service, "phase", rollout.Phase(m.Phase), "from", key)
 			}
 		}
@@ -178,7 +167,7 @@
 		}
 		e := v.evidence(m, now)
 		next := rollout.DefaultConfig.Next(m.Phase, e, now.Sub(m.SeenAt), m.Within, hasServers)
-		if v.table.Heard(m.Service, m.Order, next) {
+		if v.table.Heard(m.Service, m.Order, next, now) {
 			v.node.log.Event("moves", "phase", "service", m.Service, "target", m.Target, "phase", next,
 				"new", e.New, "new-bad", e.NewBad, "old", e.Old, "old-bad", e.OldBad, "after", now.Sub(m.SeenAt))
 		}
@@ -203,9 +192,9 @@
 		}
 		switch state {
 		case platform.MoveDone:
-			v.table.Heard(m.Service, m.Order, rollout.Done)
+			v.table.Heard(m.Service, m.Order, rollout.Done, v.node.now())
 		case platform.MoveTakenBack:
-			v.table.Heard(m.Service, m.Order, rollout.TakenBack)
+			v.table.Heard(m.Service, m.Order, rollout.TakenBack, v.node.now())
 		}
 		v.mu.Lock()
 		v.stated[m.Service] = statedMove{order: m.Order, state: state}
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -130,13 +130,12 @@
 	}
 }
 
-// present counts the servers of a service that stay. Those of a version that is
-// being moved to are the operator's until the move has ended.
+// present counts the servers of a service that stay.
 func (o *orderer) present(service string) fleetplan.Counts {
 	out := fleetplan.Counts{}
-	target := o.node.moves.target(service)
+	now := o.node.now()
 	for _, s := range o.node.backends.snapshot(service) {
-		if !s.Leaving && (target == "" || s.SoftwareVersion != target) {
+		if !s.Leaving && o.node.moves.table.Stays(service, s.SoftwareVersion, now) {
 			out[slotOf(s)]++
 		}
 	}
