Retries are counted by spans, as the platform's bound is

Change: first attempts and retries of the last ten seconds are counted; what the first ones have paid for may be drawn at once. A retry that was not sent is given back. The reserve is shared by the most VMs ever seen.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -57,8 +57,6 @@
 // Budgets holds one budget for each name. It may be used from many goroutines.
 type Budgets struct {
 	cfg Config
-	// sharers is the number of holders of the same budgets, nil for one.
-	sharers func() int
 
 	mu     sync.Mutex
 	byName map[string]*Budget
@@ -69,22 +67,10 @@
 	return &Budgets{cfg: cfg, byName: map[string]*Budget{}}
 }
 
-// NewSharedBudgets returns budgets of which this holder has its even share: the
-// reserve is divided by the number of sharers when a budget is first used.
-func NewSharedBudgets(cfg Config, sharers func() int) *Budgets {
-	b := NewBudgets(cfg)
-	b.sharers = sharers
-	return b
-}
-
 func (b *Budgets) budget(name string) *Budget {
 	x, ok := b.byName[name]
 	if !ok {
-		cfg := b.cfg
-		if b.sharers != nil {
-			cfg.Reserve /= float64(max(b.sharers(), 1))
-		}
-		x = NewBudget(cfg)
+		x = NewBudget(b.cfg)
 		b.byName[name] = x
 	}
 	return x
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -141,12 +141,16 @@
 		q.finish(endNotSent, "no-server")
 		return true
 	}
-	if q.sends > 0 && !n.retries.Take(q.service) {
+	again := q.sends > 0
+	if again && !n.retries.Take(q.service, now) {
 		n.backends.release(p)
 		q.finish(endNotSent, "retry-budget")
 		return true
 	}
 	e := q.attempt(ctx, p)
+	if again && e == endNotSent {
+		n.retries.GiveBack(q.service, n.now())
+	}
 	n.moves.answered(&p.server.info, e)
 	n.metrics.attempts.WithLabelValues(q.service, e.String()).Inc()
 	q.trail += p.server.info.ID + ":" + e.String() + ","
@@ -242,7 +246,7 @@
 	q.sends++
 	q.lastServer = p.server.info.ID
 	if q.sends == 1 {
-		q.node.retries.First(q.service)
+		q.node.retries.First(q.service, q.node.now())
 	}
 	if p.load.Memory > 0 {
 		q.node.work.add(q.service, placement.DefaultCost.Work(p.choice.Uncached, q.answerTokens()))
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -50,9 +50,12 @@
 	// quotaExtraShare of the slack that the platform allows beyond a quota is
 	// given to workspaces; the rest is for what VMs see late of each other.
 	quotaExtraShare = 0.5
-	// retryShare of the platform's bound on retries is used; the rest is for
-	// VMs that start again with fresh budgets.
-	retryShare = 0.75
+	// retryRatioShare of the retries that the platform allows for each request is
+	// used: it may count fewer requests in its spans than VMs in theirs.
+	retryRatioShare = 0.85
+	// retrySlackShare of the retries that it allows beyond is used; the rest is for
+	// VMs that start again and remember none.
+	retrySlackShare = 0.5
 	// sweepInterval is how often tables are cleared of what is old.
 	sweepInterval = 500 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is read whole.
@@ -75,7 +78,7 @@
 	backends *backendTable
 	health   *health.Table
 	quota    *quota.Shared
-	retries  *retry.Budgets
+	retries  *retry.Windows
 	usage    *usage.Table
 	members  *members
 	operator *follower
@@ -141,9 +144,10 @@
 	n.pool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.moves = newVersionMoves(n)
-	n.retries = retry.NewSharedBudgets(retry.Config{
-		Ratio:   set.RetryRatio * retryShare,
-		Reserve: set.RetrySlack * retryShare,
+	n.retries = retry.NewWindows(retry.WindowConfig{
+		Ratio:   set.RetryRatio * retryRatioShare,
+		Reserve: set.RetrySlack * retrySlackShare,
+		Length:  set.RetryWindow,
 	}, n.members.count)
 	n.backends.members = n.members.count
 	n.backends.maxConns = n.maxConnections
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,8 +31,9 @@
 
 	// RetryRatio and RetrySlack bound the requests that are sent once more,
 	// by all VMs together, in a window.
-	RetryRatio float64
-	RetrySlack float64
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// QuotaSlack is what a workspace may get beyond its quota.
 	QuotaSlack float64
 	// AddressKeep is the longest that callers keep an answer.
@@ -59,6 +60,7 @@
 	schema.Duration("duties", "usage_window", &s.UsageWindow, 5*time.Second, time.Second, time.Hour, "length of a window of usage")
 	schema.Number("retries", "ratio", &s.RetryRatio, 0.2, 0, 1, "share", "retries for each request")
 	schema.Number("retries", "slack", &s.RetrySlack, 50, 0, 1<<20, "requests", "retries without requests, in a window, by all VMs")
+	schema.Duration("retries", "window", &s.RetryWindow, 10*time.Second, time.Second, time.Hour, "span in which retries are counted")
 	schema.Number("quota", "slack", &s.QuotaSlack, 0, 0, 1<<30, "tokens or requests", "what a workspace may get beyond its quota in a window")
 	schema.Duration("listen", "address_keep", &s.AddressKeep, 5*time.Second, time.Second, time.Hour, "longest time that callers keep addresses")
 	return schema
