The wait for a slot counts by the number of slots

Cause: each request over an engine's slots was taken to wait 20 ms. Slots become free one after another as answers end: some 50 ms apart on engines of 64, 110 ms on those of 12. Change: the wait is that of a typical answer over the number of slots; a batch does not grow beyond its slots. Test: TestAQueueOfFewSlotsOutweighsAKeptPrefix.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -97,8 +97,9 @@
 	rereadWeight = 2.0
 	// farCost is added to a server in another availability zone.
 	farCost = 0.5
-	// fullCost is added, per missing slot, to a server without a free one.
-	fullCost = 20.0
+	// typicalAnswer is the number of tokens of the answers that a request waits
+	// for where all slots are taken.
+	typicalAnswer = 250
 	// memoryShare of an engine's memory may be planned for before prompts are
 	// taken to push each other out.
 	memoryShare = 0.85
@@ -190,13 +191,9 @@
 		cached = max(cached, homeTrust*float64(req.Shared))
 	}
 	uncached := max(float64(req.Prompt)-cached, 1)
-	step := milli(cost.Step) + milli(cost.StepPerRunning)*c.Load.Running
-	first := ((c.Load.Prefill+uncached)/cost.PrefillPerMilli + 2*step) * max(c.Slow, 1)
+	step := cost.stepOf(c)
+	first := ((c.Load.Prefill+uncached)/cost.PrefillPerMilli + 2*step + cost.slotWait(c)) * max(c.Slow, 1)
 	score := first + rereadWeight*uncached/cost.PrefillPerMilli + float64(min(req.Answer, 400))*0.1*step*max(c.Slow, 1)
-	if over := c.Load.Running + 1 - float64(c.Slots); c.Slots > 0 && over > 0 {
-		score += fullCost * over
-		first += fullCost * over
-	}
 	if room := memoryShare * float64(c.MemoryTokens); room > 0 {
 		if over := c.Load.Memory + float64(req.Prompt+req.Answer) - room; over > 0 {
 			score += memoryCost * over / room
@@ -208,6 +205,25 @@
 	return Choice{First: fromMilli(first), Uncached: uncached}, score
 }
 
+// stepOf is the time of one step of a server's batch, in milliseconds.
+func (c Cost) stepOf(s *Candidate) float64 {
+	running := s.Load.Running
+	if s.Slots > 0 {
+		running = min(running, float64(s.Slots))
+	}
+	return milli(c.Step) + milli(c.StepPerRunning)*running
+}
+
+// slotWait is the time until a server has a slot free for one more request, in
+// milliseconds: slots become free one after another as answers end.
+func (c Cost) slotWait(s *Candidate) float64 {
+	over := s.Load.Running + 1 - float64(s.Slots)
+	if s.Slots <= 0 || over <= 0 {
+		return 0
+	}
+	return over * typicalAnswer * c.stepOf(s) / float64(s.Slots)
+}
+
 func weighCall(cost Cost, c *Candidate) (Choice, float64) {
 	slots := float64(max(c.Slots, 1))
 	wait := max(c.Load.Running+1-slots, 0) / slots * milli(cost.CallTime)
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -147,3 +147,23 @@
 		}
 	}
 }
+
+// TestAQueueOfFewSlotsOutweighsAKeptPrefix replays a busy engine of 12 slots that
+// is the home of a prompt's shared parts: waiting for one of few slots takes
+// longer than reading the parts elsewhere. Seen on emac-hokkaido-grown, whose
+// scale days were served worse than before shared parts weighed more.
+func TestAQueueOfFewSlotsOutweighsAKeptPrefix(t *testing.T) {
+	list, r := fixture(4), random()
+	req := Request{Prompt: 6_600, Answer: 300, Shared: 5_400, Home: 7}
+	for i := range list {
+		list[i].Slots = 12
+		list[i].Load = Load{Running: 6}
+	}
+	home := homeOf(req.Home, list)
+	list[home].Load = Load{Running: 16}
+	for range 20 {
+		if c := Choose(DefaultCost, req, list, r); c.Index == home {
+			t.Fatal("the request waits behind four others for a slot")
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,8 @@
 	// headSent is true once the caller has been sent the head of an answer.
 	headSent   bool
 	firstAfter time.Duration
+	// predicted is the time to the first answer that the last choice expected.
+	predicted  time.Duration
 	lastServer string
 	trail      string
 }
@@ -244,6 +246,7 @@
 
 func (q *request) reached(p *pick) {
 	q.sends++
+	q.predicted = p.choice.First
 	q.lastServer = p.server.info.ID
 	if q.sends == 1 {
 		q.node.retries.First(q.service, q.node.now())
