Orders side by side; one without an answer is one that may be done

Cause: the check for an order without an answer never held (the standard library's errors do not see the marks), so that it was repeated at each look; and each such call held up the others and the lease's renewal for 1.2 s. And on-demand servers were bought as if a zone's reclaim took them too. Change: due orders are sent at once, 0.5 s each at most; one without an answer is repeated after 1 s; a zone that goes takes its reclaimable servers alone. Tests: TestOutcomesOfOrders, TestAnOrderIsRepeatedOnlyWithoutEffect, two more cases in TestCheapestMixes.

--- a/internal/coordination/fleetplan/fleetplan_test.go
+++ b/internal/coordination/fleetplan/fleetplan_test.go
@@ -38,6 +38,11 @@
 		{"a dear zone is left out",
 			Demand{RequestsPerSecond: 20, MaxVMs: 64}, []Offer{offer("a", true, 10), offer("b", true, 10), offer("c", true, 10), offer("d", true, 1000)}, nil,
 			Counts{slot("a", true): 1, slot("b", true): 1, slot("c", true): 1}},
+		{"on-demand VMs stay where reclaims alone are feared",
+			Demand{RequestsPerSecond: 30, MaxVMs: 64, ReclaimsOnly: true}, fourZones[4:], nil,
+			Counts{slot("a", false): 3}},
+		{"a zone has no room for more", Demand{RequestsPerSecond: 30, MaxVMs: 64, ReclaimsOnly: true, MaxPerZone: 20}, fourZones[4:], nil,
+			Counts{slot("a", false): 2, slot("b", false): 1}},
 		{"what runs is kept", Demand{RequestsPerSecond: 10, MaxVMs: 64}, fourZones, Counts{slot("d", true): 1},
 			Counts{slot("a", true): 1, slot("d", true): 1}},
 	}
--- /dev/null
+++ b/internal/coordination/fleetplan/orders_test.go
@@ -0,0 +1,52 @@
+package fleetplan
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAnOrderIsRepeatedOnlyWithoutEffect replays an outage of the platform's
+// orders: each is sent once, again after the pause, and no more once it shows.
+func TestAnOrderIsRepeatedOnlyWithoutEffect(t *testing.T) {
+	const again, unanswered = 3 * time.Second, time.Second
+	slot := Slot{AvailabilityZone: "a", Reclaimable: true}
+	for _, c := range []struct {
+		name    string
+		outcome Outcome
+		// sent is the number of orders in ten seconds without effect.
+		sent int
+	}{
+		{"taken", Taken, 4},
+		{"unanswered", Unanswered, 9},
+		{"refused", NotTaken, 25},
+	} {
+		o := NewOrders(again, unanswered)
+		sent := 0
+		now := time.Time{}
+		for range 25 {
+			if o.Due(slot, 4, 2, now) {
+				sent++
+				o.Sent(slot, 4, 2, c.outcome, now)
+			}
+			now = now.Add(400 * time.Millisecond)
+		}
+		if sent != c.sent {
+			t.Errorf("%s: %d orders in 10 s, not %d", c.name, sent, c.sent)
+		}
+		if c.outcome != NotTaken && o.Due(slot, 4, 4, now.Add(again)) {
+			t.Errorf("%s: an order that shows is repeated", c.name)
+		}
+	}
+}
+
+func TestASlotWithNoneToBeHadIsLeftAlone(t *testing.T) {
+	slot := Slot{AvailabilityZone: "a", Reclaimable: true}
+	o := NewOrders(time.Second, time.Second)
+	o.Sent(slot, 4, 1, NoneThere, time.Time{})
+	if o.Due(slot, 1, 1, time.Time{}.Add(time.Hour)) {
+		t.Error("what is there is ordered again")
+	}
+	if !o.Due(slot, 2, 1, time.Time{}) {
+		t.Error("a new number is not ordered")
+	}
+}
--- a/internal/coordination/fleetplan/plan.go
+++ b/internal/coordination/fleetplan/plan.go
@@ -44,6 +44,8 @@
 	MaxVMs   int
 	// MaxPerZone bounds the capacity in a zone, 0 for no bound.
 	MaxPerZone float64
+	// ReclaimsOnly is true where a zone that goes loses its reclaimable VMs alone.
+	ReclaimsOnly bool
 }
 
 // Counts is a number of VMs for each slot.
@@ -67,14 +69,15 @@
 	return sum
 }
 
-// capacity is what VMs serve, whole and by zone.
+// capacity is what VMs serve, whole and by zone; atRisk is the part of a zone
+// that goes together, and largest the most of any zone.
 type capacity struct {
 	total, onDemand, largest float64
-	zone                     map[string]float64
+	zone, atRisk             map[string]float64
 }
 
-func (c Counts) capacity(offers []Offer) capacity {
-	out := capacity{zone: map[string]float64{}}
+func (c Counts) capacity(d Demand, offers []Offer) capacity {
+	out := capacity{zone: map[string]float64{}, atRisk: map[string]float64{}}
 	for _, o := range offers {
 		x := float64(c[o.Slot]) * o.Capacity
 		out.total += x
@@ -82,19 +85,25 @@
 		if !o.Reclaimable {
 			out.onDemand += x
 		}
+		if d.goes(o) {
+			out.atRisk[o.AvailabilityZone] += x
+		}
 	}
-	for _, x := range out.zone {
+	for _, x := range out.atRisk {
 		out.largest = max(out.largest, x)
 	}
 	return out
 }
 
+// goes tells whether VMs of an offer go with their zone.
+func (d Demand) goes(o Offer) bool { return o.Reclaimable || !d.ReclaimsOnly }
+
 // tolerance takes up rounding.
 const tolerance = 1e-9
 
 // Meets tells whether the VMs serve the demand with any one zone gone.
 func (c Counts) Meets(d Demand, offers []Offer) bool {
-	have := c.capacity(offers)
+	have := c.capacity(d, offers)
 	return have.total-have.largest >= d.RequestsPerSecond-tolerance && have.onDemand >= d.OnDemand-tolerance
 }
 
@@ -108,7 +117,7 @@
 	for _, bound := range zoneBounds(d, offers, have) {
 		counts := fill(d, offers, have, bound)
 		if !counts.Meets(d, offers) {
-			if nearest == nil || served(counts, offers) > served(nearest, offers) {
+			if nearest == nil || served(d, counts, offers) > served(d, nearest, offers) {
 				nearest = counts
 			}
 			continue
@@ -123,16 +132,16 @@
 	return best, true
 }
 
-func served(c Counts, offers []Offer) float64 {
-	x := c.capacity(offers)
+func served(d Demand, c Counts, offers []Offer) float64 {
+	x := c.capacity(d, offers)
 	return x.total - x.largest
 }
 
-// zoneBounds are the capacities of a zone that are worth trying: whole VMs of
-// each class, up to the demand. A small bound spreads over many zones, a large
+// zoneBounds are the capacities of a zone at risk that are worth trying: whole
+// VMs of each class, up to the demand. A small bound spreads over many zones, a large
 // one puts more into the cheapest.
 func zoneBounds(d Demand, offers []Offer, have Counts) []float64 {
-	bounds := []float64{have.capacity(offers).largest}
+	bounds := []float64{have.capacity(d, offers).largest}
 	for _, o := range offers {
 		for n := 1; n <= int(math.Ceil(d.RequestsPerSecond/o.Capacity)); n++ {
 			bounds = append(bounds, float64(n)*o.Capacity)
@@ -147,7 +156,8 @@
 	return slices.Compact(bounds)
 }
 
-// fill adds the cheapest VMs, at most bound in a zone, until the demand is met.
+// fill adds the cheapest VMs, at most bound at risk in a zone, until the demand
+// is met.
 func fill(d Demand, offers []Offer, have Counts, bound float64) Counts {
 	counts := Counts{}
 	for slot, n := range have {
@@ -156,8 +166,9 @@
 	add := func(usable func(Offer) bool, lacking func(capacity) bool) {
 		for _, o := range offers {
 			for !o.Blocked && usable(o) && counts.Total() < d.MaxVMs {
-				now := counts.capacity(offers)
-				if !lacking(now) || now.zone[o.AvailabilityZone]+o.Capacity > bound+tolerance {
+				now := counts.capacity(d, offers)
+				if !lacking(now) || d.goes(o) && now.atRisk[o.AvailabilityZone]+o.Capacity > bound+tolerance ||
+					d.MaxPerZone > 0 && now.zone[o.AvailabilityZone]+o.Capacity > d.MaxPerZone+tolerance {
 					break
 				}
 				counts[o.Slot]++
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"coltsfootpath.example/coltsfootpath/internal/coordination/fleetplan"
 	"coltsfootpath.example/coltsfootpath/internal/state/site"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -14,9 +16,15 @@
 const (
 	// orderInterval is how often the number of servers is looked at.
 	orderInterval = 400 * time.Millisecond
-	// orderAgain is when an order is repeated whose effect does not show: orders
-	// may be lost, or be carried out late and out of turn.
+	// orderAgain is when an order is repeated whose effect does not show; the
+	// servers of one that was taken come within a boot, which takes seconds.
 	orderAgain = 3 * time.Second
+	// unansweredAgain is the same for an order without an answer, which may never
+	// be carried out.
+	unansweredAgain = time.Second
+	// orderTimeout bounds one order: the platform answers within milliseconds or
+	// not at all.
+	orderTimeout = 500 * time.Millisecond
 	// refusedPause is how long a kind of server that was not to be had is not
 	// asked for again.
 	refusedPause = 2 * time.Second
@@ -43,15 +51,10 @@
 // serviceOrders is what has been ordered of one service.
 type serviceOrders struct {
 	counter *fleetplan.Counter
-	ordered map[fleetplan.Slot]order
+	orders  *fleetplan.Orders
 	meter   *fleetplan.Meter
 }
 
-type order struct {
-	count int
-	at    time.Time
-}
-
 func newOrderer(n *Node) *orderer {
 	return &orderer{node: n, services: map[string]*serviceOrders{}}
 }
@@ -113,7 +116,7 @@
 	now := o.node.now()
 	so, ok := o.services[name]
 	if !ok {
-		so = &serviceOrders{counter: fleetplan.NewCounter(refusedPause), ordered: map[fleetplan.Slot]order{}, meter: fleetplan.NewMeter(demandConfig)}
+		so = &serviceOrders{counter: fleetplan.NewCounter(refusedPause), orders: fleetplan.NewOrders(orderAgain, unansweredAgain), meter: fleetplan.NewMeter(demandConfig)}
 		o.services[name] = so
 	}
 	have := o.present(name)
@@ -122,11 +125,31 @@
 	if found == 0 {
 		return
 	}
-	demand := fleetplan.Demand{MaxVMs: s.Scaling.Max * len(s.Scaling.ZonePrices)}
+	demand := fleetplan.Demand{MaxVMs: s.Scaling.Max * len(s.Scaling.ZonePrices), ReclaimsOnly: true}
 	demand.RequestsPerSecond, demand.Wanted = so.meter.VMs(found)
 	bounds := fleetplan.Bounds{MinPerZone: s.Scaling.Min, MaxPerZone: s.Scaling.Max}
-	for slot, want := range so.counter.Step(demand, bounds, offersOf(s.Scaling), have, now) {
-		o.send(ctx, h, name, so, slot, want, have[slot])
+	var due []fleetplan.Slot
+	target := so.counter.Step(demand, bounds, offersOf(s.Scaling), have, now)
+	for slot, want := range target {
+		if so.orders.Due(slot, want, have[slot], now) {
+			due = append(due, slot)
+		}
+	}
+	// Calls without an answer must not hold up the lease, nor each other.
+	outcomes := make([]fleetplan.Outcome, len(due))
+	var calls sync.WaitGroup
+	for i, slot := range due {
+		calls.Go(func() { outcomes[i] = o.send(ctx, h, name, slot, target[slot], have[slot]) })
+	}
+	calls.Wait()
+	for i, slot := range due {
+		so.orders.Sent(slot, target[slot], have[slot], outcomes[i], now)
+		switch outcomes[i] {
+		case fleetplan.Taken:
+			so.counter.Accepted(slot)
+		case fleetplan.NoneThere:
+			so.counter.Refused(slot, now)
+		}
 	}
 }
 
@@ -164,36 +187,30 @@
 	return d.machine.State().Sizes[name]
 }
 
-// send orders a number of servers where it differs from what was ordered last,
-// or where that does not show.
-func (o *orderer) send(ctx context.Context, h platform.Holder, service string, so *serviceOrders, slot fleetplan.Slot, want, have int) {
+// send orders a number of servers.
+func (o *orderer) send(ctx context.Context, h platform.Holder, service string, slot fleetplan.Slot, want, have int) fleetplan.Outcome {
 	n := o.node
-	now := n.now()
-	last, ordered := so.ordered[slot]
-	if ordered && last.count == want && (have == want || now.Sub(last.at) < orderAgain) {
-		return
-	}
-	if !ordered && have == want {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, dutyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := n.platform.OrderServers(callCtx, h, platform.Order{
+	err := n.platform.OrderServers(ctx, h, platform.Order{
 		Service: service, AvailabilityZone: slot.AvailabilityZone, Reclaimable: slot.Reclaimable, Count: want,
 	})
 	n.metrics.duties.WithLabelValues("order", outcomeOf(err)).Inc()
 	n.log.Event("duties", "order", "service", service, "zone", slot.AvailabilityZone, "reclaimable", slot.Reclaimable,
 		"count", want, "have", have, "fence", h.Fence, "error", err)
+	return orderOutcome(err)
+}
+
+// orderOutcome tells what became of an order. A conflict may also mean that
+// another VM holds the duties: the next report of usage tells.
+func orderOutcome(err error) fleetplan.Outcome {
 	switch {
 	case err == nil:
-		so.counter.Accepted(slot)
-		so.ordered[slot] = order{count: want, at: now}
+		return fleetplan.Taken
 	case errors.Is(err, platform.ErrUnknown):
-		so.ordered[slot] = order{count: want, at: now}
+		return fleetplan.Unanswered
 	case platform.Conflicted(err):
-		// None are to be had now, or another VM holds the duties: the next report
-		// of usage tells which.
-		so.ordered[slot] = order{count: have, at: now}
-		so.counter.Refused(slot, now)
+		return fleetplan.NoneThere
 	}
+	return fleetplan.NotTaken
 }
--- /dev/null
+++ b/internal/gateway/orders_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/fleetplan"
+	"coltsfootpath.example/coltsfootpath/platform"
+	"coltsfootpath.example/coltsfootpath/platform/platformtest"
+)
+
+// TestOutcomesOfOrders holds that an order without an answer is told apart from
+// one that the platform refused: such an order may be carried out, also later.
+func TestOutcomesOfOrders(t *testing.T) {
+	store := platformtest.NewStore()
+	client := platform.NewClient(store.Address(), store.Address(), func(string, error) {})
+	order := func() fleetplan.Outcome {
+		return orderOutcome(client.OrderServers(context.Background(), platform.Holder{VM: "vm-1", Fence: 1}, platform.Order{Service: "s", Count: 2}))
+	}
+	if got := order(); got != fleetplan.Taken {
+		t.Errorf("an accepted order has outcome %d", got)
+	}
+	store.Refuse(http.StatusConflict)
+	if got := order(); got != fleetplan.NoneThere {
+		t.Errorf("an order of what is not to be had has outcome %d", got)
+	}
+	store.Refuse(http.StatusServiceUnavailable)
+	if got := order(); got != fleetplan.NotTaken {
+		t.Errorf("a refused order has outcome %d", got)
+	}
+	store.Close()
+	if got := order(); got != fleetplan.Unanswered {
+		t.Errorf("an order without an answer has outcome %d", got)
+	}
+}
