Callers are held to the document's times, and bytes that are no request answered

Cause: connections were kept 60 s whatever the document said, heads could take any time, and what the parser can't read was closed without a status. Change: one record for each connection: how long its head takes (408), how long it is idle, and that it was refused (400, 413, 431); answers to requests before are delivered first. The library's own clock is put out of use, with the work around it. Tests: arrival_test.go.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -188,11 +188,17 @@
 	}
 	n.callers, err = httpserver.Start(httpserver.Config{
 		Name: "callers", Address: n.set.Callers, Handler: n.ingressHandler(),
-		MaxBodyBytes: bodyBound, Workers: workers,
+		MaxBodyBytes: bodyBound, Workers: workers, Refused: n.refusedConn,
 	})
 	return err
 }
 
+// refusedConn notes a connection that was closed for what it sent.
+func (n *Node) refusedConn(caller string, status int) {
+	n.metrics.requests.WithLabelValues("", "refused-connection").Inc()
+	n.log.Failure("callers", "connection-refused", "caller", caller, "status", status)
+}
+
 func (n *Node) startLoops() {
 	n.loops.Go(func() { n.operator.run(n.ctx) })
 	n.loops.Go(func() { n.servers.run(n.ctx) })
@@ -242,6 +248,7 @@
 		limits[w.Name] = quota.Limit{PerSecond: w.PerSecond, Burst: w.Burst}
 	}
 	n.quota.Configure(limits, n.now())
+	n.callers.SetLimits(httpserver.Limits{Header: d.Limits.HeaderTimeout, Idle: d.Limits.IdleTimeout})
 	n.document.Store(d)
 	n.metrics.document.Set(float64(d.Version))
 	n.log.Event("document", "in-force", "version", d.Version, "offset", offset, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
--- a/internal/transport/httpserver/httpserver.go
+++ b/internal/transport/httpserver/httpserver.go
@@ -28,6 +28,12 @@
 	MaxWriteBufferBytes int
 	// IdleTimeout closes a connection that sends no request for so long.
 	IdleTimeout time.Duration
+	// HeaderTimeout bounds the time that a request's head takes to arrive, 0 for
+	// any time.
+	HeaderTimeout time.Duration
+	// Refused is told of connections that are closed for what they sent, nil for
+	// nobody.
+	Refused func(caller string, status int)
 	// MaxConnections bounds the open connections.
 	MaxConnections int
 	// Workers bounds the handlers that run at once.
@@ -53,9 +59,13 @@
 	reading     chan struct{}
 	readingOnce sync.Once
 
+	// refusedConn is told of connections whose bytes are no requests.
+	refusedConn func(caller string, status int)
+
 	mu       sync.Mutex
 	inflight int
-	conns    map[*nbio.Conn]map[*context.CancelFunc]struct{}
+	limits   Limits
+	conns    map[*nbio.Conn]*connState
 }
 
 // Start listens and serves until Shutdown or Close.
@@ -67,7 +77,10 @@
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Address)
 	}
 	listener := newListener(inner)
-	s := &Server{listener: listener, stopped: make(chan struct{}), reading: make(chan struct{}), conns: map[*nbio.Conn]map[*context.CancelFunc]struct{}{}}
+	s := &Server{
+		listener: listener, stopped: make(chan struct{}), reading: make(chan struct{}), conns: map[*nbio.Conn]*connState{},
+		limits: Limits{Header: cfg.HeaderTimeout, Idle: cfg.IdleTimeout}, refusedConn: cfg.Refused,
+	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:                   cfg.Name,
 		Network:                "tcp",
@@ -80,9 +93,11 @@
 		ReadBufferSize:         readBufferBytes,
 		MaxWriteBufferSize:     cfg.MaxWriteBufferBytes,
 		MessageHandlerPoolSize: cfg.Workers,
-		KeepaliveTime:          cfg.IdleTimeout,
+		KeepaliveTime:          libraryKeepalive,
 		Handler:                s.track(cfg.Handler),
 	})
+	s.engine.OnOpen(s.opened)
+	s.engine.OnData(s.arrived)
 	s.engine.OnClose(func(net.Conn, error) { s.readingOnce.Do(func() { close(s.reading) }) })
 	if err := s.engine.Start(); err != nil {
 		return nil, errors.Wrapf(err, "start server %s", cfg.Name)
@@ -109,6 +124,9 @@
 
 const (
 	startTimeout = 10 * time.Second
+	// libraryKeepalive is longer than any request or idle time: the library's own
+	// clock also runs while a request does.
+	libraryKeepalive = 24 * time.Hour
 	// pollers is one, so that one connection proves that the loop runs.
 	pollers         = 1
 	maxHeaderBytes  = 64 << 10
@@ -172,7 +190,6 @@
 			// The request before it on the connection has ended this one too.
 			return
 		}
-		stopIdleClock(conn)
 		s.register(conn, &cancel)
 		defer s.unregister(conn, &cancel)
 		next.ServeHTTP(w, r.WithContext(ctx))
@@ -183,24 +200,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight++
-	if s.conns[conn] == nil {
-		s.conns[conn] = map[*context.CancelFunc]struct{}{}
-	}
-	s.conns[conn][cancel] = struct{}{}
+	s.of(conn).cancels[cancel] = struct{}{}
 }
 
 func (s *Server) unregister(conn *nbio.Conn, cancel *context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight--
-	delete(s.conns[conn], cancel)
+	state := s.of(conn)
+	delete(state.cancels, cancel)
+	if len(state.cancels) == 0 {
+		state.next(time.Now())
+	}
 }
 
 func (s *Server) cancelAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, cancels := range s.conns {
-		for cancel := range cancels {
+	for _, state := range s.conns {
+		for cancel := range state.cancels {
 			(*cancel)()
 		}
 	}
