Fewer VMs read the store, less often

Change: one hub of a zone reads, and two VMs of a mesh; 400 ms between reads. The leaving of a server is still known within a second of the two and three that the platform allows.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -11,10 +11,11 @@
 type Config struct {
 	// MeshLimit is the largest number of VMs that form a mesh.
 	MeshLimit int
-	// Hubs is the number of hubs of a zone, Readers the number of VMs of a mesh
-	// that read the store.
-	Hubs    int
-	Readers int
+	// Hubs is the number of hubs of a zone, ZoneReaders the number of them that
+	// read the store. Readers is the number of VMs of a mesh that do.
+	Hubs        int
+	ZoneReaders int
+	Readers     int
 	// Fresh is how long a VM that tells nothing is taken to be there.
 	Fresh time.Duration
 	// Silent is how long a VM that is told things may say nothing before another
@@ -36,7 +37,8 @@
 var DefaultConfig = Config{
 	MeshLimit:    16,
 	Hubs:         2,
-	Readers:      3,
+	ZoneReaders:  1,
+	Readers:      2,
 	Fresh:        1200 * time.Millisecond,
 	Silent:       2 * time.Second,
 	Counts:       8 * time.Second,
@@ -469,7 +471,8 @@
 // IsReader tells whether this VM is to read the store for others.
 func (c *Core) IsReader(now time.Time) bool {
 	if !c.IsMesh(now) {
-		return c.isHub(now)
+		hubs := c.hubsOf(c.self.AvailabilityZone, now)
+		return c.among(hubs[:min(len(hubs), c.cfg.ZoneReaders)])
 	}
 	rank := 0
 	for _, p := range c.peers {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -207,9 +207,9 @@
 	n.loops.Go(func() { n.sweep(n.ctx) })
 }
 
-// serversPause gathers the entries of servers that change one after another;
-// the platform allows seconds for a leaving server.
-const serversPause = 250 * time.Millisecond
+// serversPause gathers the entries of servers, each of which writes its own about
+// once a second; the platform allows two seconds or more for a leaving server.
+const serversPause = 400 * time.Millisecond
 
 func (n *Node) noteCall(call string, err error) {
 	outcome := "done"
