Orders keep their place, and a new holder gives nothing up unmeasured

A VM that took the duties over had seen no work and ordered a third of the engines away (42 to 27 a zone, 13.8 s). And while the store was away, servers that were gone counted. Change: offers are sorted; reclaimable servers are kept until the work has been measured; while entries are older than 1.5 s, servers that the holder can't connect to don't count. Tests: TestZonesOfOnePriceKeepTheirPlaces, TestAnUnknownDemandGivesNoReclaimableVMsUp.

--- a/internal/coordination/fleetplan/counts.go
+++ b/internal/coordination/fleetplan/counts.go
@@ -45,7 +45,7 @@
 	}
 	settled := float64(ready) >= min(float64(target.Total()), d.RequestsPerSecond)
 	for slot, n := range serving {
-		if !settled && n > target[slot] {
+		if n > target[slot] && (!settled || d.KeepReclaimable && slot.Reclaimable) {
 			target[slot] = n
 		} else if _, ok := target[slot]; !ok {
 			target[slot] = 0
--- a/internal/coordination/fleetplan/counts_test.go
+++ b/internal/coordination/fleetplan/counts_test.go
@@ -206,3 +206,23 @@
 		t.Errorf("%v needed after a jump to 80", got)
 	}
 }
+
+// TestAnUnknownDemandGivesNoReclaimableVMsUp: a VM that takes the duties over has
+// seen no work yet. Seen on emac-hokkaido-grown trouble-3, where the next holder
+// ordered a third of the engines away in the middle of a hot workspace.
+func TestAnUnknownDemandGivesNoReclaimableVMsUp(t *testing.T) {
+	serving := Counts{}
+	for _, o := range zoneOffers() {
+		if o.Reclaimable {
+			serving[o.Slot] = 5
+		}
+	}
+	d := Demand{RequestsPerSecond: 6, Wanted: 9, MaxVMs: 24, ReclaimsOnly: true, KeepReclaimable: true}
+	if got := NewCounter(time.Second).Step(d, countBounds, zoneOffers(), serving, epoch); got.reclaimable() < 20 {
+		t.Errorf("%d of 20 are kept", got.reclaimable())
+	}
+	d.KeepReclaimable = false
+	if got := NewCounter(time.Second).Step(d, countBounds, zoneOffers(), serving, epoch); got.reclaimable() >= 20 {
+		t.Error("none is given up once the demand is known")
+	}
+}
--- a/internal/coordination/fleetplan/demand.go
+++ b/internal/coordination/fleetplan/demand.go
@@ -76,10 +76,15 @@
 	for _, p := range m.peaks {
 		busy = max(busy, p.vms)
 	}
-	measured := !m.seenFrom.IsZero() && m.lastAt.Sub(m.seenFrom) >= m.cfg.Hold
+	measured := m.Measured()
 	return m.cfg.Needed.of(busy, found, measured), m.cfg.Wanted.of(busy, found, measured)
 }
 
+// Measured tells whether work has been seen for long enough to go by it alone.
+func (m *Meter) Measured() bool {
+	return !m.seenFrom.IsZero() && m.lastAt.Sub(m.seenFrom) >= m.cfg.Hold
+}
+
 func (l Level) of(busy float64, found int, measured bool) float64 {
 	floor := l.FloorShare
 	if !measured {
--- a/internal/coordination/fleetplan/plan.go
+++ b/internal/coordination/fleetplan/plan.go
@@ -44,6 +44,9 @@
 	MaxVMs   int
 	// MaxPerZone bounds the capacity in a zone, 0 for no bound.
 	MaxPerZone float64
+	// KeepReclaimable is true where the demand is not known well enough to give
+	// reclaimable VMs up.
+	KeepReclaimable bool
 	// ReclaimsOnly is true where a zone that goes loses its reclaimable VMs alone.
 	ReclaimsOnly bool
 }
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// orderTimeout bounds one order: the platform answers within milliseconds or
 	// not at all.
 	orderTimeout = 500 * time.Millisecond
+	// entriesOld is the age from which the servers' entries are not relied on: each
+	// server writes its own about once a second.
+	entriesOld = 1500 * time.Millisecond
 	// refusedPause is how long a kind of server that was not to be had is not
 	// asked for again.
 	refusedPause = 2 * time.Second
@@ -127,6 +131,7 @@
 	}
 	demand := fleetplan.Demand{MaxVMs: s.Scaling.Max * len(s.Scaling.ZonePrices), ReclaimsOnly: true}
 	demand.RequestsPerSecond, demand.Wanted = so.meter.VMs(found)
+	demand.KeepReclaimable = !so.meter.Measured()
 	bounds := fleetplan.Bounds{MinPerZone: s.Scaling.Min, MaxPerZone: s.Scaling.Max}
 	var due []fleetplan.Slot
 	target := so.counter.Step(demand, bounds, offersOf(s.Scaling), have, now)
@@ -153,11 +158,19 @@
 	}
 }
 
-// present counts the servers of a service that stay.
+// present counts the servers of a service that stay. While the store is away
+// entries stand whose servers are gone, and those that can't be connected to do
+// not count, unless none can.
 func (o *orderer) present(service string) fleetplan.Counts {
 	out := fleetplan.Counts{}
 	now := o.node.now()
-	for _, s := range o.node.backends.snapshot(service) {
+	servers := o.node.backends.snapshot(service)
+	if now.Sub(o.node.contact.last(platform.ServersTopic)) > entriesOld {
+		if reached := o.node.backends.reachable(service, now); len(reached) > 0 {
+			servers = reached
+		}
+	}
+	for _, s := range servers {
 		if !s.Leaving && o.node.moves.table.Stays(service, s.SoftwareVersion, now) {
 			out[slotOf(s)]++
 		}
@@ -171,7 +184,9 @@
 
 func offersOf(sc *site.Scaling) []fleetplan.Offer {
 	var out []fleetplan.Offer
-	for zone, price := range sc.ZonePrices {
+	// In the same order each time: zones of one price would else change places.
+	for _, zone := range slices.Sorted(maps.Keys(sc.ZonePrices)) {
+		price := sc.ZonePrices[zone]
 		out = append(out,
 			fleetplan.Offer{Slot: fleetplan.Slot{AvailabilityZone: zone}, MicrosPerHour: int64(price * priceUnit), Capacity: 1},
 			fleetplan.Offer{Slot: fleetplan.Slot{AvailabilityZone: zone, Reclaimable: true}, MicrosPerHour: int64(price * sc.ReclaimablePrice * priceUnit), Capacity: 1})
--- a/internal/gateway/orders_test.go
+++ b/internal/gateway/orders_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/fleetplan"
+	"coltsfootpath.example/coltsfootpath/internal/state/site"
 	"coltsfootpath.example/coltsfootpath/platform"
 	"coltsfootpath.example/coltsfootpath/platform/platformtest"
 )
@@ -34,3 +36,16 @@
 		t.Errorf("an order without an answer has outcome %d", got)
 	}
 }
+
+// TestZonesOfOnePriceKeepTheirPlaces: the plan takes the first of the cheapest
+// offers. Seen on emac-hokkaido-grown trouble-3, where two zones of one price
+// changed places at each look, and no server that was ordered came up.
+func TestZonesOfOnePriceKeepTheirPlaces(t *testing.T) {
+	sc := &site.Scaling{ReclaimablePrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1}}
+	first := fmt.Sprint(offersOf(sc))
+	for range 50 {
+		if got := fmt.Sprint(offersOf(sc)); got != first {
+			t.Fatalf("offers %s, before %s", got, first)
+		}
+	}
+}
