An engine that has not read a prompt's parts yet is not slow

Cause: the home of a prompt's parts is taken to keep them. The measured time was also compared with a prediction that held the slowness already. Change: the time is compared with what an engine of ordinary speed takes, with the parts or without; the average begins at the service's median.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -90,9 +90,12 @@
 	failures float64
 	inRow    int
 	good     int
-	// logSlow is the moving average of the logarithm of observed over predicted.
-	logSlow float64
-	seenAt  time.Time
+	// logSlow is the moving average of the logarithm of observed over predicted,
+	// once anything was measured. It begins at the median of the model's servers:
+	// one sample says little.
+	logSlow  float64
+	measured bool
+	seenAt   time.Time
 }
 
 // Outcome is how an attempt ended, as evidence about its server.
@@ -193,7 +196,7 @@
 	defer t.mu.RUnlock()
 	common := t.medians[key.Model].logSlow
 	s, ok := t.byKey[key]
-	if !ok || s.samples == 0 {
+	if !ok || !s.measured {
 		return math.Exp(common)
 	}
 	faded := min(max(now.Sub(s.seenAt).Seconds()/t.cfg.Memory.Seconds(), 0), 1)
@@ -209,7 +212,7 @@
 		s = &state{}
 		t.byKey[key] = s
 	}
-	s.note(o, now)
+	s.note(o, t.medians[key.Model].logSlow, now)
 	t.refreshMedian(key.Model, now)
 	bad := o.Failed || o.Ratio > 0 && math.Log(o.Ratio) > t.slowBound(key.Model)
 	switch {
@@ -224,7 +227,7 @@
 	}
 }
 
-func (s *state) note(o Outcome, now time.Time) {
+func (s *state) note(o Outcome, common float64, now time.Time) {
 	s.samples++
 	failed := 0.0
 	if o.Failed {
@@ -238,8 +241,8 @@
 		return
 	}
 	sample := math.Log(min(o.Ratio, maxRatio))
-	if s.seenAt.IsZero() || s.logSlow == 0 {
-		s.logSlow = sample
+	if !s.measured {
+		s.logSlow, s.measured = common, true
 	}
 	s.logSlow += (sample - s.logSlow) * newest
 	s.seenAt = now
@@ -312,10 +315,13 @@
 	}
 	var all []float64
 	for k, s := range t.byKey {
-		if k.Model == model && s.samples > 0 {
+		if k.Model == model && s.measured {
 			all = append(all, s.logSlow)
 		}
 	}
+	if len(all) == 0 {
+		return
+	}
 	slices.Sort(all)
 	t.medians[model] = median{logSlow: all[len(all)/2], at: now}
 }
--- a/internal/coordination/health/health_test.go
+++ b/internal/coordination/health/health_test.go
@@ -122,7 +122,9 @@
 func TestOldEvidenceOfSlownessFades(t *testing.T) {
 	table := newTestTable(4)
 	good(table, 4, 3, begin)
-	table.Ended(key(3), Outcome{Ratio: 2}, begin.Add(2*time.Second))
+	for range 2 * DefaultConfig.MinSamples {
+		table.Ended(key(3), Outcome{Ratio: 2}, begin.Add(2*time.Second))
+	}
 	fresh := table.Slowdown(key(3), begin.Add(2*time.Second))
 	faded := table.Slowdown(key(3), begin.Add(2*time.Second+DefaultConfig.Memory))
 	if fresh < 1.5 || faded > 1.1 {
@@ -130,6 +132,17 @@
 	}
 }
 
+// TestOneSampleSaysLittle: 88 VMs that each ask an engine about once a second saw
+// engines "three times slower" which were the only ones to keep a prompt's parts.
+func TestOneSampleSaysLittle(t *testing.T) {
+	table := newTestTable(4)
+	good(table, 4, 3, begin)
+	table.Ended(key(3), Outcome{Ratio: 5}, begin.Add(time.Second))
+	if slow := table.Slowdown(key(3), begin.Add(time.Second)); slow > 1.5 {
+		t.Fatalf("slowdown %v after one slow answer", slow)
+	}
+}
+
 // Whatever happens, no more than the largest share of servers is out.
 func TestTheFleetIsNeverEjectedWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -114,8 +114,11 @@
 type Choice struct {
 	// Index is -1 where there is none.
 	Index int
-	// First is the predicted time to the first answer.
-	First time.Duration
+	// First is the predicted time to the first answer. Least and Most are what it
+	// may be on a server of ordinary speed: what it keeps of the prompt is not
+	// known for sure.
+	First       time.Duration
+	Least, Most time.Duration
 	// Uncached is the number of prompt tokens that are taken to be read.
 	Uncached float64
 }
@@ -192,7 +195,8 @@
 	}
 	uncached := max(float64(req.Prompt)-cached, 1)
 	step := cost.stepOf(c)
-	first := ((c.Load.Prefill+uncached)/cost.PrefillPerMilli + 2*step + cost.slotWait(c)) * max(c.Slow, 1)
+	wait := c.Load.Prefill/cost.PrefillPerMilli + 2*step + cost.slotWait(c)
+	first := (wait + uncached/cost.PrefillPerMilli) * max(c.Slow, 1)
 	score := first + rereadWeight*uncached/cost.PrefillPerMilli + float64(min(req.Answer, 400))*0.1*step*max(c.Slow, 1)
 	if room := memoryShare * float64(c.MemoryTokens); room > 0 {
 		if over := c.Load.Memory + float64(req.Prompt+req.Answer) - room; over > 0 {
@@ -202,7 +206,25 @@
 	if !c.Near {
 		score += farCost
 	}
-	return Choice{First: fromMilli(first), Uncached: uncached}, score
+	return Choice{
+		First: fromMilli(first), Uncached: uncached,
+		Least: fromMilli(wait + max(float64(req.Prompt-req.Shared), 1)/cost.PrefillPerMilli),
+		Most:  fromMilli(wait + float64(req.Prompt)/cost.PrefillPerMilli),
+	}, score
+}
+
+// Ratio compares a measured time with what it may be on a server of ordinary
+// speed: 1 where it is within that.
+func (c *Choice) Ratio(took time.Duration) float64 {
+	switch {
+	case c.Least <= 0:
+		return 0
+	case took < c.Least:
+		return float64(took) / float64(c.Least)
+	case took > c.Most:
+		return float64(took) / float64(c.Most)
+	}
+	return 1
 }
 
 // stepOf is the time of one step of a server's batch, in milliseconds.
@@ -228,12 +250,13 @@
 	slots := float64(max(c.Slots, 1))
 	wait := max(c.Load.Running+1-slots, 0) / slots * milli(cost.CallTime)
 	busy := c.Load.Running / slots * milli(cost.CallTime) * 0.3
-	first := (wait + milli(cost.CallTime)) * max(c.Slow, 1)
+	ordinary := wait + milli(cost.CallTime)
+	first := ordinary * max(c.Slow, 1)
 	score := first + busy
 	if !c.Near {
 		score += farCost
 	}
-	return Choice{First: fromMilli(first)}, score
+	return Choice{First: fromMilli(first), Least: fromMilli(ordinary), Most: fromMilli(ordinary)}, score
 }
 
 func milli(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 )
 
 func fixture(n int) []Candidate {
@@ -167,3 +168,22 @@
 		}
 	}
 }
+
+// TestWhatAnEngineKeepsIsNoSlowness: the home of a prompt's parts may not have read
+// them yet. The time is that of an ordinary engine, with the parts or without.
+func TestWhatAnEngineKeepsIsNoSlowness(t *testing.T) {
+	list, r := fixture(4), random()
+	c := Choose(DefaultCost, Request{Prompt: 12_000, Answer: 300, Shared: 5_400, Home: 7}, list, r)
+	for _, took := range []time.Duration{c.Least, c.First, c.Most} {
+		if ratio := c.Ratio(took); ratio != 1 {
+			t.Errorf("%v of %v to %v is a ratio of %v", took, c.Least, c.Most, ratio)
+		}
+	}
+	if ratio := c.Ratio(3 * c.Most); ratio != 3 {
+		t.Errorf("three times the most is a ratio of %v", ratio)
+	}
+	list[c.Index].Slow = 2
+	if again := Choose(DefaultCost, Request{Prompt: 12_000}, list[c.Index:c.Index+1], r); again.Ratio(2*again.Most) != 2 {
+		t.Error("what is known of a slow server counts as ordinary")
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -49,7 +49,7 @@
 	}
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
 	failed := answer.Status >= http.StatusInternalServerError
-	n.health.Ended(a.pick.health, health.Outcome{Failed: failed, Ratio: ratio(now.Sub(a.began), a.pick.choice.First)}, now)
+	n.health.Ended(a.pick.health, health.Outcome{Failed: failed, Ratio: a.pick.choice.Ratio(now.Sub(a.began))}, now)
 	if failed {
 		q.failed = whole
 		if q.mayRepeat() && !q.headSent {
@@ -63,14 +63,6 @@
 	return endAnswered
 }
 
-// ratio is a time over the predicted one, 0 where there is no prediction.
-func ratio(took, predicted time.Duration) float64 {
-	if predicted <= 0 {
-		return 0
-	}
-	return float64(took) / float64(predicted)
-}
-
 // countBegun counts the request in its workspace's usage, in the window of the
 // present moment.
 func (q *request) countBegun(now time.Time) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,8 @@
 	firstAfter time.Duration
 	// predicted is the time to the first answer that the last choice expected.
 	predicted  time.Duration
+	home       uint64
+	uncached   float64
 	lastServer string
 	trail      string
 }
@@ -249,6 +251,7 @@
 func (q *request) reached(p *pick) {
 	q.sends++
 	q.predicted = p.choice.First
+	q.uncached = p.choice.Uncached
 	q.lastServer = p.server.info.ID
 	if q.sends == 1 {
 		q.node.retries.First(q.service, q.node.now())
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -326,6 +326,6 @@
 		write = n.log.Failure
 	}
 	write("request", outcome, "id", q.call.ID, "reason", reason, "status", status, "route", q.routeName(), "workspace", workspace,
-		"service", q.service, "server", q.lastServer, "sends", q.sends, "predicted", q.predicted, "first", q.firstAfter, "took", n.now().Sub(q.began),
+		"service", q.service, "server", q.lastServer, "sends", q.sends, "predicted", q.predicted, "uncached", q.uncached, "first", q.firstAfter, "took", n.now().Sub(q.began),
 		"left", q.call.Left, "prompt", q.call.PromptTokens, "cost", q.cost, "document", version, "trail", q.trail)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -108,7 +108,7 @@
 		q.firstAfter = now.Sub(q.began)
 	}
 	q.countBegun(now)
-	n.health.Ended(a.pick.health, health.Outcome{Ratio: ratio(now.Sub(a.began), a.pick.choice.First)}, now)
+	n.health.Ended(a.pick.health, health.Outcome{Ratio: a.pick.choice.Ratio(now.Sub(a.began))}, now)
 }
 
 // passEvent sends one event to the caller, after the head of the first answer.
