A large document is read from the store where peers can't pass it on

Ruled out: the store (readers have the document 40 ms after the others' news). Change: after a failed call to a peer a VM reads the store itself for 1.5 s; a read goes on for 0.4 s after a peer's news, and to its end where a peer was asked in vain. Where the store can't be read, peers get 2.5 s. Test: TestADocumentThatPeersDoNotPassOnIsReadFromTheStore.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,12 +19,21 @@
 	readGrace = 700 * time.Millisecond
 	// newestTimeout bounds a read of all keys.
 	newestTimeout = 2 * time.Second
+	// nudgeGrace is how long a read goes on after a peer has told of more: the
+	// store tells all its readers at the same time.
+	nudgeGrace = 400 * time.Millisecond
 	// followBackoff is the pause after a failed call; the store counts refused
 	// calls too.
 	followBackoff    = 150 * time.Millisecond
 	followBackoffMax = 600 * time.Millisecond
-	// relayTimeout bounds a call to a peer that has read further.
+	// relayTimeout bounds a call to a peer that has read further. A large document
+	// takes longer where many ask a peer with a thin link.
 	relayTimeout = 500 * time.Millisecond
+	// relayPatience bounds it while the store can't be read.
+	relayPatience = 2500 * time.Millisecond
+	// relayPause is how long a VM reads the store itself after a call to a peer
+	// has failed.
+	relayPause = 1500 * time.Millisecond
 	// idleLook is how often a VM that leaves reading to others looks whether it
 	// still may.
 	idleLook = 300 * time.Millisecond
@@ -54,6 +63,8 @@
 	// The fields below are used by the loop alone.
 	fresh   bool
 	failing int
+	// relayFrom is when peers are asked again.
+	relayFrom time.Time
 }
 
 func newFollower(n *Node, topic string, pause time.Duration, apply func(string, []byte, uint64)) *follower {
@@ -62,11 +73,15 @@
 
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.fromPeer(ctx) {
-			sleep(ctx, f.pause)
-			continue
+		behind := f.isBehind()
+		if behind && !f.node.now().Before(f.relayFrom) {
+			if f.fromPeer(ctx) {
+				sleep(ctx, f.pause)
+				continue
+			}
+			f.relayFrom = f.node.now().Add(relayPause)
 		}
-		if f.fresh && f.node.members.mayLeaveReading() {
+		if f.fresh && !behind && f.node.members.mayLeaveReading() {
 			f.node.contact.touch(f.topic, f.node.now())
 			f.node.contact.set(f.topic, false)
 			f.await(ctx, idleLook)
@@ -121,9 +136,16 @@
 		f.node.log.Failure("store", "lost", "topic", f.topic, "error", err)
 	}
 	f.failing++
+	f.relayFrom = time.Time{}
 	f.node.contact.set(f.topic, false)
 }
 
+// isBehind tells whether a peer has read further.
+func (f *follower) isBehind() bool {
+	_, end := f.node.members.furthest(f.topic)
+	return end > f.end()
+}
+
 func (f *follower) end() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,7 +167,11 @@
 	if end <= from {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	timeout := relayTimeout
+	if f.failing > 0 {
+		timeout = relayPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := relayapi.Records(ctx, f.node.pool.Conn(ctx, address), &relayapi.RecordsRequest{Topic: f.topic, From: from})
 	if err != nil {
@@ -257,9 +283,19 @@
 	done := make(chan struct{})
 	defer close(done)
 	nudged := make(chan struct{})
+	nudge := f.nudge
+	if f.node.now().Before(f.relayFrom) {
+		// A peer was asked already and has not answered.
+		nudge = nil
+	}
 	go func() {
 		select {
-		case <-f.nudge:
+		case <-nudge:
+		case <-done:
+			return
+		}
+		select {
+		case <-time.After(nudgeGrace):
 			close(nudged)
 			cancel()
 		case <-done:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/loopback"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -525,6 +526,46 @@
 // TestARelayTellsOfKeysDroppedBeforeItsSenderStarted: a VM that has read the
 // newest record of each key can't list what was dropped before. Hunts found
 // servers that stayed in use so after all VMs had started again.
+// TestADocumentThatPeersDoNotPassOnIsReadFromTheStore: many VMs ask a peer with a
+// thin link for a large document. Found on emac-hokkaido-grown trouble-2 --small
+// (CONFIG, DENIED): 12 VMs asked again and again, half a second each, and those
+// that read the store broke that off to ask too.
+func TestADocumentThatPeersDoNotPassOnIsReadFromTheStore(t *testing.T) {
+	const peers = 12
+	f := newFixture(t)
+	f.server("a", nil)
+	n := f.node("vm-1", 1)
+	var digests []*gossip.Digest
+	for i := range peers {
+		// Connections are taken and never answered.
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = silent.Close() })
+		d := &gossip.Digest{ReadsStore: true}
+		d.VM, d.Incarnation, d.AvailabilityZone, d.PeerAddress = fmt.Sprintf("%c-%d", 'a'+i, i*i), 1, "zone-a", silent.Addr().String()
+		digests = append(digests, d)
+	}
+	tell := func(end uint64) {
+		for _, d := range digests {
+			d.Sequence++
+			d.DocumentEnd = end
+			copied := *d
+			n.members.take(&copied, n.now())
+		}
+	}
+	f.eventually("reading is left to peers", func() bool {
+		tell(1)
+		return n.members.mayLeaveReading()
+	})
+	f.document(2)
+	f.eventually("the new document is in force", func() bool {
+		tell(2)
+		return n.document.Load().Version == 2
+	})
+}
+
 func TestARelayTellsOfKeysDroppedBeforeItsSenderStarted(t *testing.T) {
 	f := newFixture(t)
 	f.server("a", nil)
