A VM that starts has 1.2 s of its share of quotas

Change: 1.2 s of the share, and 1.2 s of drawing from it alone. The bound allows it: 8 s of the rate, its burst of a second, and 1.2 s come to 10.2 of the 9.9 s and the slack that are allowed where nothing is lost to the start itself, which takes a second; TestAllVMsStartAtOnce, which has no such second, holds.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -235,10 +235,10 @@
 	shareTime = 2 * time.Second
 	// startTime is how long a VM that has started draws from its share alone: until
 	// it has heard of all others a few times.
-	startTime = 1500 * time.Millisecond
+	startTime = 1200 * time.Millisecond
 	// startShare bounds what such a VM may save of its share, which it begins with;
 	// startOver is how many times as much a single request may take.
-	startShare = 500 * time.Millisecond
+	startShare = 1200 * time.Millisecond
 	startOver  = 4
 	// minWait is the shortest wait that is told.
 	minWait = time.Millisecond
