More reclaimable engines are kept

Cause: at a planned use of 0.9 bursts and lost zones met engines that were full. Reclaimable ones cost 0.15 to 0.18 of others. Change: planned use 0.75, and 0.7 of the servers found at first as the floor.

--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -39,7 +39,7 @@
 // demandConfig leaves engines room for prompts that meet on them.
 var demandConfig = fleetplan.DemandConfig{
 	Needed: fleetplan.Level{Utilization: 1.3, FloorShare: 0.45, StartShare: 0.45},
-	Wanted: fleetplan.Level{Utilization: 0.9, FloorShare: 0.6, StartShare: 0.6},
+	Wanted: fleetplan.Level{Utilization: 0.75, FloorShare: 0.7, StartShare: 0.7},
 	Window: 3 * time.Second,
 	Hold:   10 * time.Second,
 }
