Placement knows engines' memory

Cause: the bound on memory was there, but the document's figure was not passed to it. Test: TestEnginesMemoryBoundsWhatTheyAreGiven.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -74,6 +74,8 @@
 	health   *health.Table
 	members  func() int
 	maxConns func(service string) int
+	// memoryOf is the memory of an engine of a service in tokens, 0 for none.
+	memoryOf func(service string) int
 }
 
 type peerLoad struct {
@@ -87,6 +89,7 @@
 		byService: map[string][]*backend{},
 		peerLoads: map[string]peerLoad{},
 		health:    h,
+		memoryOf:  func(string) int { return 0 },
 	}
 }
 
@@ -255,8 +258,10 @@
 	}
 	list := make([]placement.Candidate, len(servers))
 	sums := t.peerSums(now)
+	memory := t.memoryOf(w.service)
 	for i, b := range servers {
 		list[i] = t.candidate(b, w, sums[b.short], now)
+		list[i].MemoryTokens = memory
 	}
 	choice := placement.Choose(placement.DefaultCost, w.request, list, random)
 	if choice.Index < 0 {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -151,6 +151,7 @@
 	}, n.members.count)
 	n.backends.members = n.members.count
 	n.backends.maxConns = n.maxConnections
+	n.backends.memoryOf = n.engineMemory
 	return n
 }
 
@@ -165,6 +166,16 @@
 	return 100
 }
 
+// engineMemory is what the document says of a service's engines.
+func (n *Node) engineMemory(service string) int {
+	if d := n.document.Load(); d != nil {
+		if s, ok := d.Services[service]; ok && s.Model != nil {
+			return s.Model.MemoryTokens
+		}
+	}
+	return 0
+}
+
 func (n *Node) listen() error {
 	if err := n.members.listen(); err != nil {
 		return err
