Engines of few slots are planned with more room

Change: the use of reclaimable engines falls with the root of their slots: 0.75 of 64 slots as before, 0.59 of 12. Test: TestFewSlotsNeedMoreRoom.

--- a/internal/coordination/fleetplan/counts_test.go
+++ b/internal/coordination/fleetplan/counts_test.go
@@ -226,3 +226,22 @@
 		t.Error("none is given up once the demand is known")
 	}
 }
+
+// TestFewSlotsNeedMoreRoom: engines of 12 slots met their bursts full where those
+// of 64 had room, planned to be used alike. Seen on emac-hokkaido-grown.
+func TestFewSlotsNeedMoreRoom(t *testing.T) {
+	cfg := DemandConfig{Needed: Level{Utilization: 1.3}, Wanted: Level{Utilization: 0.87}}
+	few, many := cfg.ForSlots(12), cfg.ForSlots(64)
+	if few.Wanted.Utilization >= many.Wanted.Utilization || many.Wanted.Utilization >= cfg.Wanted.Utilization {
+		t.Errorf("planned use %.2f of 12 slots, %.2f of 64", few.Wanted.Utilization, many.Wanted.Utilization)
+	}
+	if few.Needed != cfg.Needed {
+		t.Error("what dear VMs are bought for changes too")
+	}
+	if one := cfg.ForSlots(1); one.Wanted.Utilization < 0.4 {
+		t.Errorf("planned use %.2f of one slot", one.Wanted.Utilization)
+	}
+	if cfg.ForSlots(0) != cfg {
+		t.Error("an unknown number of slots changes the plan")
+	}
+}
--- a/internal/coordination/fleetplan/demand.go
+++ b/internal/coordination/fleetplan/demand.go
@@ -1,6 +1,9 @@
 package fleetplan
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Level turns measured work into a number of VMs.
 type Level struct {
@@ -24,6 +27,20 @@
 	Window, Hold time.Duration
 }
 
+// slotMargin sets how much less of their time engines are planned to be used that
+// run few requests at once.
+const slotMargin = 1.1
+
+// ForSlots returns the bounds for VMs that run so many requests at once. The fewer
+// they are, the more a burst of ordinary size fills of them, as the spread of a
+// sum grows with its root alone.
+func (c DemandConfig) ForSlots(slots int) DemandConfig {
+	if slots > 0 {
+		c.Wanted.Utilization *= 1 - min(slotMargin/math.Sqrt(float64(slots)), 0.5)
+	}
+	return c
+}
+
 // Meter follows the work that is asked of a service. It answers traffic that
 // jumps within seconds, and waves whose troughs are too short to give VMs up.
 type Meter struct {
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -39,7 +39,7 @@
 // demandConfig leaves engines room for prompts that meet on them.
 var demandConfig = fleetplan.DemandConfig{
 	Needed: fleetplan.Level{Utilization: 1.3, FloorShare: 0.45, StartShare: 0.45},
-	Wanted: fleetplan.Level{Utilization: 0.75, FloorShare: 0.7, StartShare: 0.7},
+	Wanted: fleetplan.Level{Utilization: 0.87, FloorShare: 0.7, StartShare: 0.7},
 	Window: 3 * time.Second,
 	Hold:   10 * time.Second,
 }
@@ -120,7 +120,7 @@
 	now := o.node.now()
 	so, ok := o.services[name]
 	if !ok {
-		so = &serviceOrders{counter: fleetplan.NewCounter(refusedPause), orders: fleetplan.NewOrders(orderAgain, unansweredAgain), meter: fleetplan.NewMeter(demandConfig)}
+		so = &serviceOrders{counter: fleetplan.NewCounter(refusedPause), orders: fleetplan.NewOrders(orderAgain, unansweredAgain), meter: fleetplan.NewMeter(demandConfig.ForSlots(slotsOf(s)))}
 		o.services[name] = so
 	}
 	have := o.present(name)
@@ -178,6 +178,15 @@
 	return out
 }
 
+// slotsOf returns how many requests a server of a service runs at once, 0 where the
+// document does not say.
+func slotsOf(s *site.Service) int {
+	if s.Model == nil {
+		return 0
+	}
+	return s.Model.Slots
+}
+
 func slotOf(s site.Server) fleetplan.Slot {
 	return fleetplan.Slot{AvailabilityZone: s.AvailabilityZone, Reclaimable: s.Reclaimable}
 }
