Settings that change are taken in

Cause: SIGHUP wrote a line and changed nothing, and a file that changed without a signal was not seen.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -76,6 +76,16 @@
 	return &Shared{extra: extra, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
+// SetExtra replaces what a bucket may hold over its burst.
+func (s *Shared) SetExtra(extra float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.buckets {
+		s.refill(b, now)
+	}
+	s.extra = extra
+}
+
 // Configure takes the limits in force. A new bucket begins empty: other VMs may
 // have drawn from it before this one began.
 func (s *Shared) Configure(limits map[string]Limit, now time.Time) {
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -96,6 +96,20 @@
 	return &Windows{cfg: cfg, sharers: sharers, most: 1, byName: map[string]*Window{}}
 }
 
+// SetConfig replaces the bounds. Where the length of a span changes, attempts are
+// counted anew.
+func (w *Windows) SetConfig(cfg WindowConfig) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if cfg.Length != w.cfg.Length {
+		w.byName = map[string]*Window{}
+	}
+	w.cfg = cfg
+	for _, x := range w.byName {
+		x.cfg = cfg
+	}
+}
+
 func (w *Windows) window(name string) *Window {
 	x, ok := w.byName[name]
 	if !ok {
--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -85,3 +85,12 @@
 		t.Fatal("what was given back is not there")
 	}
 }
+
+func TestNewBoundsHoldAtOnce(t *testing.T) {
+	w := NewWindows(WindowConfig{Reserve: 1, Length: time.Second}, func() int { return 1 })
+	w.Take("s", start)
+	w.SetConfig(WindowConfig{Reserve: 2, Length: time.Second})
+	if !w.Take("s", start) || w.Take("s", start) {
+		t.Error("the new reserve is not two retries, one of which was drawn")
+	}
+}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -280,7 +280,7 @@
 	n := d.node
 	end := (window + 1) * n.set.UsageWindow.Milliseconds()
 	passed := time.Duration(n.clock.unixMillis(now)-end) * time.Millisecond
-	return passed < n.set.UsageLate-reportMargin && n.usage.Missing(now.Add(-passed), now) > 0
+	return passed < n.live.Load().UsageLate-reportMargin && n.usage.Missing(now.Add(-passed), now) > 0
 }
 
 func outcomeOf(err error) string {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -79,9 +79,11 @@
 }
 
 func (f *fixture) document(version int) {
-	f.store.Put(platform.OperatorTopic, platform.DocumentKey, fmt.Appendf(nil, document, version))
+	f.store.Put(platform.OperatorTopic, platform.DocumentKey, documentOf(version))
 }
 
+func documentOf(version int) []byte { return fmt.Appendf(nil, document, version) }
+
 // server adds a backend server.
 func (f *fixture) server(id string, decide func(n int, r platformtest.Run) platformtest.Ending) *platformtest.Server {
 	s := platformtest.NewServer(id, decide)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -44,7 +44,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		ttl := min(addressTTL, n.set.AddressKeep)
+		ttl := min(addressTTL, n.live.Load().AddressKeep)
 		httpserver.WriteJSON(w, http.StatusOK, platform.Addresses{Addresses: addresses, TTLSeconds: ttl.Seconds()})
 	})
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return
 	}
-	for seed := range strings.SplitSeq(m.node.set.Seeds, ",") {
+	for seed := range strings.SplitSeq(m.node.live.Load().Seeds, ",") {
 		if host, _, err := net.SplitHostPort(strings.TrimSpace(seed)); err == nil {
 			m.know(gossip.Identity{PeerAddress: net.JoinHostPort(host, port)})
 		}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -68,7 +68,10 @@
 
 // Node is one entry VM.
 type Node struct {
+	// set are the settings at the start, live those in force of what may change
+	// while the VM runs.
 	set         Settings
+	live        atomic.Pointer[Settings]
 	incarnation uint64
 	log         *eventlog.Logger
 	metrics     *metrics
@@ -129,6 +132,7 @@
 		clock:       newWallClock(),
 		work:        newWorkMeter(),
 	}
+	n.live.Store(&set)
 	n.platform = platform.NewClient(set.Store, set.Cloud, n.noteCall)
 	n.health = health.New(healthConfig, n.now())
 	n.health.OnChange(func(k health.Key, phase string) {
@@ -144,11 +148,7 @@
 	n.pool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.moves = newVersionMoves(n)
-	n.retries = retry.NewWindows(retry.WindowConfig{
-		Ratio:   set.RetryRatio * retryRatioShare,
-		Reserve: set.RetrySlack * retrySlackShare,
-		Length:  set.RetryWindow,
-	}, n.members.count)
+	n.retries = retry.NewWindows(retryConfig(&set), n.members.count)
 	n.backends.members = n.members.count
 	n.backends.maxConns = n.maxConnections
 	n.backends.memoryOf = n.engineMemory
@@ -322,9 +322,10 @@
 	n.log.Event("gateway", "draining", "vm", n.set.VM, "open", n.open.Load())
 	n.members.announce()
 	n.duties.release()
-	end := began.Add(n.set.Grace - drainMargin)
+	grace := n.live.Load().Grace
+	end := began.Add(grace - drainMargin)
 	for now := n.now(); now.Before(end) && ctx.Err() == nil; now = n.now() {
-		if now.Sub(began) >= min(drainServe, n.set.Grace/2) {
+		if now.Sub(began) >= min(drainServe, grace/2) {
 			n.closing.Store(true)
 			if n.open.Load() == 0 {
 				break
@@ -357,10 +358,26 @@
 	n.log.Close()
 }
 
-// Reload takes in settings that changed. What a running VM can't change is left
-// as it is and told of.
+// Reload takes in settings that changed, as far as a running VM can, and tells of
+// the others.
 func (n *Node) Reload(set Settings) {
-	n.log.Event("gateway", "reloaded", "vm", set.VM, "store", set.Store, "same", set == n.set)
+	before := n.live.Load()
+	taken, needStart := before.changes(&set)
+	n.live.Store(&set)
+	n.platform.SetAddresses(set.Store, set.Cloud)
+	n.members.knowSeeds()
+	n.retries.SetConfig(retryConfig(&set))
+	n.quota.SetExtra(quotaExtraShare*set.QuotaSlack, n.now())
+	setMemoryLimit(&set)
+	n.log.Event("gateway", "reloaded", "vm", set.VM, "store", set.Store, "taken", strings.Join(taken, ","), "need-start", strings.Join(needStart, ","))
+}
+
+func retryConfig(set *Settings) retry.WindowConfig {
+	return retry.WindowConfig{
+		Ratio:   set.RetryRatio * retryRatioShare,
+		Reserve: set.RetrySlack * retrySlackShare,
+		Length:  set.RetryWindow,
+	}
 }
 
 func newRandom() *rand.Rand {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -42,6 +42,46 @@
 	AddressKeep time.Duration
 }
 
+// settingChanges lists the settings with how a running VM takes a change.
+var settingChanges = []struct {
+	name string
+	// live is true for a setting that is taken in at once; others need a start.
+	live bool
+	same func(a, b *Settings) bool
+}{
+	{"vm.name", false, func(a, b *Settings) bool { return a.VM == b.VM && a.AvailabilityZone == b.AvailabilityZone }},
+	{"vm.memory_mb", true, func(a, b *Settings) bool { return a.MemoryMB == b.MemoryMB }},
+	{"vm.link_mbps", false, func(a, b *Settings) bool { return a.LinkMbps == b.LinkMbps }},
+	{"vm.grace", true, func(a, b *Settings) bool { return a.Grace == b.Grace }},
+	{"listen", false, func(a, b *Settings) bool {
+		return a.Callers == b.Callers && a.Ready == b.Ready && a.Directory == b.Directory && a.Peers == b.Peers && a.Metrics == b.Metrics
+	}},
+	{"listen.seeds", true, func(a, b *Settings) bool { return a.Seeds == b.Seeds }},
+	{"listen.address_keep", true, func(a, b *Settings) bool { return a.AddressKeep == b.AddressKeep }},
+	{"platform", true, func(a, b *Settings) bool { return a.Store == b.Store && a.Cloud == b.Cloud }},
+	{"duties.lease", false, func(a, b *Settings) bool { return a.Lease == b.Lease }},
+	{"duties.usage_window", false, func(a, b *Settings) bool { return a.UsageWindow == b.UsageWindow }},
+	{"duties.usage_late", true, func(a, b *Settings) bool { return a.UsageLate == b.UsageLate }},
+	{"retries", true, func(a, b *Settings) bool {
+		return a.RetryRatio == b.RetryRatio && a.RetrySlack == b.RetrySlack && a.RetryWindow == b.RetryWindow
+	}},
+	{"quota.slack", true, func(a, b *Settings) bool { return a.QuotaSlack == b.QuotaSlack }},
+}
+
+// changes names the settings that differ, by whether a running VM takes them in.
+func (s *Settings) changes(next *Settings) (taken, needStart []string) {
+	for _, c := range settingChanges {
+		switch {
+		case c.same(s, next):
+		case c.live:
+			taken = append(taken, c.name)
+		default:
+			needStart = append(needStart, c.name)
+		}
+	}
+	return taken, needStart
+}
+
 // Schema returns the settings' schema, bound to s.
 func (s *Settings) Schema() *settings.Schema {
 	schema := settings.NewSchema("coltsfoot-gateway")
