Read over: when entries are not relied on, and a field that was not used

Entries count as old once this VM can't read them at the store, or after a whole read without a word; before, after 1.5 s, as if every server wrote once a second.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,8 +36,8 @@
 	headSent   bool
 	firstAfter time.Duration
 	// predicted is the time to the first answer that the last choice expected.
-	predicted  time.Duration
-	home       uint64
+	predicted time.Duration
+	// uncached is the number of prompt tokens that it took the server to read.
 	uncached   float64
 	lastServer string
 	trail      string
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,8 @@
 	apply func(key string, value []byte, offset uint64)
 	// nudge is signalled when a peer has read further.
 	nudge chan struct{}
+	// away is true while this VM can't read the topic at the store.
+	away atomic.Bool
 
 	// mu guards what peers ask for.
 	mu      sync.Mutex
@@ -126,6 +129,7 @@
 		f.node.log.Event("store", "regained", "topic", f.topic, "failures", f.failing)
 	}
 	f.failing = 0
+	f.away.Store(false)
 	f.node.contact.touch(f.topic, f.node.now())
 	f.node.contact.set(f.topic, true)
 }
@@ -135,6 +139,7 @@
 		f.node.log.Failure("store", "lost", "topic", f.topic, "error", err)
 	}
 	f.failing++
+	f.away.Store(true)
 	f.relayFrom = time.Time{}
 	f.node.contact.set(f.topic, false)
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -218,8 +218,9 @@
 	n.loops.Go(func() { n.sweep(n.ctx) })
 }
 
-// serversPause gathers the entries of servers, each of which writes its own about
-// once a second; the platform allows two seconds or more for a leaving server.
+// serversPause gathers the entries of servers that change one after another, as
+// when a zone's are reclaimed; the platform allows two seconds or more for a
+// leaving server.
 const serversPause = 300 * time.Millisecond
 
 func (n *Node) noteCall(call string, err error) {
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -26,9 +26,9 @@
 	// orderTimeout bounds one order: the platform answers within milliseconds or
 	// not at all.
 	orderTimeout = 500 * time.Millisecond
-	// entriesOld is the age from which the servers' entries are not relied on: each
-	// server writes its own about once a second.
-	entriesOld = 1500 * time.Millisecond
+	// entriesOld is the age from which the servers' entries are not relied on: a
+	// read that brings nothing takes so long.
+	entriesOld = readWait + readGrace
 	// refusedPause is how long a kind of server that was not to be had is not
 	// asked for again.
 	refusedPause = 2 * time.Second
@@ -165,7 +165,7 @@
 	out := fleetplan.Counts{}
 	now := o.node.now()
 	servers := o.node.backends.snapshot(service)
-	if now.Sub(o.node.contact.last(platform.ServersTopic)) > entriesOld {
+	if o.node.servers.away.Load() || now.Sub(o.node.contact.last(platform.ServersTopic)) > entriesOld {
 		if reached := o.node.backends.reachable(service, now); len(reached) > 0 {
 			servers = reached
 		}
