A request without an id is refused with 400

Cause: servers refuse it as not run, so that it was sent to others and ended with 503 and a time to come back. Case in TestRefusals, whose other requests name themselves now.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -224,17 +224,18 @@
 		call   call
 		status int
 	}{
-		{"no route", call{method: "GET", path: "/none/", key: "key-w"}, http.StatusNotFound},
-		{"no key", call{method: "GET", path: "/again/x"}, http.StatusUnauthorized},
-		{"wrong key", call{method: "GET", path: "/again/x", key: "other"}, http.StatusUnauthorized},
-		{"long body", call{method: "POST", path: "/again/x", key: "key-w", body: strings.Repeat("x", 5000)}, http.StatusRequestEntityTooLarge},
-		{"long head", call{method: "GET", path: "/again/x", key: "key-w", header: map[string]string{"X-Long": strings.Repeat("x", 20000)}}, http.StatusRequestHeaderFieldsTooLarge},
+		{"no route", call{method: "GET", path: "/none/", key: "key-w", id: "1"}, http.StatusNotFound},
+		{"no key", call{method: "GET", path: "/again/x", id: "2"}, http.StatusUnauthorized},
+		{"wrong key", call{method: "GET", path: "/again/x", key: "other", id: "3"}, http.StatusUnauthorized},
+		{"no id", call{method: "GET", path: "/again/x", key: "key-w"}, http.StatusBadRequest},
+		{"long body", call{method: "POST", path: "/again/x", key: "key-w", id: "4", body: strings.Repeat("x", 5000)}, http.StatusRequestEntityTooLarge},
+		{"long head", call{method: "GET", path: "/again/x", key: "key-w", id: "5", header: map[string]string{"X-Long": strings.Repeat("x", 20000)}}, http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		if got := do(t, n, c.call); got.status != c.status {
 			t.Errorf("%s: %+v", c.name, got)
 		}
 	}
-	if got := do(t, n, call{method: "GET", path: "/public/x"}); got.status != http.StatusOK {
+	if got := do(t, n, call{method: "GET", path: "/public/x", id: "6"}); got.status != http.StatusOK {
 		t.Errorf("public: %+v", got)
 	}
 	if len(s.Runs()) != 1 {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -130,6 +130,9 @@
 	if ref := q.checkHead(); ref != nil {
 		return ref
 	}
+	if q.call.ID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: "no-id"}
+	}
 	if n.closing.Load() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving", after: retryElsewhere}
 	}
