--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -468,7 +468,9 @@
 	f.store.Put(platform.ServersTopic, "a", a.Entry("s", "zone-a", "draining"))
 	f.eventually("leaving", func() bool { return f.out.has("servers entry", "server=a", "leaving=true") })
 	for i := range 20 {
-		do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: fmt.Sprint(i)})
+		if got := do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: fmt.Sprint(i)}); got.status != http.StatusOK {
+			t.Errorf("request %d: status %d, %v", i, got.status, got.err)
+		}
 	}
 	if len(a.Runs()) != 0 || len(b.Runs()) != 20 {
 		t.Errorf("%d and %d runs", len(a.Runs()), len(b.Runs()))
