Read once more: one piece where there were two, behaviour as before

- gossip kept the holder's word in four fields and members copied it into duty's type: it is one value of duty.Word.
ZoneReaders had become the number of hubs: it goes, and IsReader asks isHub.
- Servers of a service were listed by two loops, and every request during and after a move copied all of them to learn which versions there are: one filter, and backendTable.versions.
- What the document says of a service was looked up by two functions of one shape; the 100 connections without a word of it have a name.
- follower.away could be told from failing; the peer that is ahead was looked for twice before each call to it; the wall clock's median was taken anew for each window of usage.
- A switch of one case and a nil branch that can't be reached go.
Tests keep their assertions; two set their fixtures up by the new fields.

--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -143,21 +143,20 @@
 
 // HeardOf takes the newest word of the holder with the highest fence known.
 func (m *Machine) HeardOf(w Word, now time.Time) {
-	fence, at := w.Fence, w.At
 	if w.Fence > m.wordFence || w.Fence == m.wordFence && w.End > m.wordEnd {
 		m.wordFence, m.wordEnd, m.wordAt = w.Fence, w.End, w.At
 	}
-	if m.held != 0 && fence > m.held {
+	if m.held != 0 && w.Fence > m.held {
 		m.held = 0
 		m.heardAt = now
 	}
-	if m.held != 0 || fence < m.state.Fence || !at.After(m.heardAt) {
+	if m.held != 0 || w.Fence < m.state.Fence || !w.At.After(m.heardAt) {
 		return
 	}
-	m.heardAt = at
+	m.heardAt = w.At
 	// Word that is passed on seems newer by each way it takes: old word is no
 	// sign of life.
-	if now.Sub(at) < m.cfg.Quiet {
+	if now.Sub(w.At) < m.cfg.Quiet {
 		m.silentFrom = time.Time{}
 	}
 }
@@ -205,11 +204,9 @@
 	for _, r := range records {
 		m.state.Apply(r)
 	}
-	h := m.state.Holder
-	switch {
-	case h.VM == "" || m.state.Released || h.VM == m.vm:
-		// A claim of this VM's own, of an earlier life or one whose answer was
-		// lost, stands for nobody else.
+	// A claim of this VM's own, of an earlier life or one whose answer was lost,
+	// stands for nobody else.
+	if h := m.state.Holder; h.VM == "" || m.state.Released || h.VM == m.vm {
 		return Claim
 	}
 	if len(records) > 0 || m.silentFrom.IsZero() {
--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -5,19 +5,20 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/duty"
 )
 
 // Config bounds the traffic.
 type Config struct {
 	// MeshLimit is the largest number of VMs that form a mesh.
 	MeshLimit int
-	// Hubs is the number of hubs of a zone, ZoneReaders the number of them that
-	// read the store. Readers is the least number of VMs of a mesh that do, and
-	// CutShare the share of VMs that may be cut off from the store together.
-	Hubs        int
-	ZoneReaders int
-	Readers     int
-	CutShare    float64
+	// Hubs is the number of hubs of a zone, which read the store. Readers is the
+	// least number of VMs of a mesh that do, and CutShare the share of VMs that may
+	// be cut off from the store together.
+	Hubs     int
+	Readers  int
+	CutShare float64
 	// Fresh is how long a VM that tells nothing is taken to be there.
 	Fresh time.Duration
 	// Silent is how long a VM that is told things may say nothing before another
@@ -39,7 +40,6 @@
 var DefaultConfig = Config{
 	MeshLimit:    16,
 	Hubs:         2,
-	ZoneReaders:  2,
 	Readers:      3,
 	CutShare:     0.35,
 	Fresh:        1200 * time.Millisecond,
@@ -193,10 +193,7 @@
 	zoneSource map[string]string
 	zones      map[string]*totals
 	all        totals
-	holderAt   time.Time
-	holderEnd  uint64
-	holder     string
-	fence      uint64
+	word       Word
 }
 
 // New returns a core that knows only itself.
@@ -316,30 +313,25 @@
 }
 
 func (c *Core) hearHolder(d *Digest, now time.Time) {
-	if d.Fence < c.fence || d.HolderAddress == "" {
+	if d.Fence < c.word.Fence || d.HolderAddress == "" {
 		return
 	}
 	at := now.Add(-time.Duration(d.HolderAgeMillis) * time.Millisecond)
 	// The time on the way makes word look newer than it is: what VMs tell each
 	// other in turn must not stay young for ever.
-	if d.Fence > c.fence || at.Sub(c.holderAt) > c.cfg.Transit {
-		c.fence, c.holder, c.holderAt, c.holderEnd = d.Fence, d.HolderAddress, at, d.HolderEnd
+	if d.Fence > c.word.Fence || at.Sub(c.word.At) > c.cfg.Transit {
+		c.word = Word{Address: d.HolderAddress, Word: duty.Word{Fence: d.Fence, End: d.HolderEnd, At: at}}
 	}
 }
 
-// Word is what the holder of the duties last said.
+// Word is what the holder of the duties last said, and its peer address.
 type Word struct {
 	Address string
-	Fence   uint64
-	// End is where the log of duties ended, At when the holder said so.
-	End uint64
-	At  time.Time
+	duty.Word
 }
 
 // Holder returns the newest word of the holder with the highest fence.
-func (c *Core) Holder() Word {
-	return Word{Address: c.holder, Fence: c.fence, End: c.holderEnd, At: c.holderAt}
-}
+func (c *Core) Holder() Word { return c.word }
 
 func (c *Core) news(p *peer, d *Digest, now time.Time) (News, bool) {
 	switch d.Kind {
@@ -474,8 +466,7 @@
 // IsReader tells whether this VM is to read the store for others.
 func (c *Core) IsReader(now time.Time) bool {
 	if !c.IsMesh(now) {
-		hubs := c.hubsOf(c.self.AvailabilityZone, now)
-		return c.among(hubs[:min(len(hubs), c.cfg.ZoneReaders)])
+		return c.isHub(now)
 	}
 	rank := 0
 	for _, p := range c.peers {
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/duty"
 	"coltsfootpath.example/coltsfootpath/internal/rapidtest"
 )
 
@@ -283,7 +284,7 @@
 	w.run(10)
 	died := w.now
 	for _, v := range w.vms {
-		v.core.fence, v.core.holder, v.core.holderAt = 5, "peer-dead", died
+		v.core.word = Word{Address: "peer-dead", Word: duty.Word{Fence: 5, At: died}}
 	}
 	byAddress := map[string]*vm{}
 	for _, v := range w.vms {
--- a/internal/coordination/gossip/tell.go
+++ b/internal/coordination/gossip/tell.go
@@ -19,8 +19,8 @@
 	c.forgetAfterPause(now)
 	own.Identity, own.Kind, own.Sequence = c.self, Own, c.sequence
 	if own.HolderAddress == "" {
-		own.HolderAddress, own.HolderEnd, own.Fence = c.holder, c.holderEnd, max(own.Fence, c.fence)
-		own.HolderAgeMillis = uint64(max(now.Sub(c.holderAt).Milliseconds(), 0))
+		own.HolderAddress, own.HolderEnd, own.Fence = c.word.Address, c.word.End, max(own.Fence, c.word.Fence)
+		own.HolderAgeMillis = uint64(max(now.Sub(c.word.At).Milliseconds(), 0))
 	}
 	if c.IsMesh(now) {
 		return c.tellMesh(&own, now)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -148,9 +148,6 @@
 	case time.Duration:
 		return append(strconv.AppendInt(b, v.Milliseconds(), 10), "ms"...)
 	case error:
-		if v == nil {
-			return append(b, '-')
-		}
 		return appendText(b, v.Error())
 	case interface{ String() string }:
 		return appendText(b, v.String())
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -40,6 +40,8 @@
 	goneUse = 1500 * time.Millisecond
 	// connectionShare of a server's connections is used by all entry VMs.
 	connectionShare = 0.85
+	// defaultConnections is what a server takes of which the document does not say.
+	defaultConnections = 100
 	// minConnections is what an entry VM may open to any server.
 	minConnections = 4
 )
@@ -70,12 +72,11 @@
 	byService map[string][]*backend
 	peerLoads map[string]peerLoad
 	// counted are the keys of peerLoads that count now.
-	counted  map[string]int
-	health   *health.Table
-	members  func() int
-	maxConns func(service string) int
-	// memoryOf is the memory of an engine of a service in tokens, 0 for none.
-	memoryOf func(service string) int
+	counted map[string]int
+	health  *health.Table
+	members func() int
+	// service is what the document says of a service, nil where it does not.
+	service func(name string) *site.Service
 }
 
 type peerLoad struct {
@@ -89,10 +90,25 @@
 		byService: map[string][]*backend{},
 		peerLoads: map[string]peerLoad{},
 		health:    h,
-		memoryOf:  func(string) int { return 0 },
 	}
 }
 
+// maxConnections is how many connections a server of a service takes.
+func (t *backendTable) maxConnections(service string) int {
+	if s := t.service(service); s != nil && s.MaxConnections > 0 {
+		return s.MaxConnections
+	}
+	return defaultConnections
+}
+
+// memoryOf is the memory of an engine of a service in tokens, 0 for none.
+func (t *backendTable) memoryOf(service string) int {
+	if s := t.service(service); s != nil && s.Model != nil {
+		return s.Model.MemoryTokens
+	}
+	return 0
+}
+
 func healthKey(s *site.Server) health.Key {
 	return health.Key{Server: s.ID, Model: s.Service}
 }
@@ -118,7 +134,7 @@
 		DialTimeout:     dialTimeout,
 		IdleWithoutHint: idleWithoutHint,
 		MaxConnections: func() int {
-			return max(int(connectionShare*float64(t.maxConns(service)))/t.members(), minConnections)
+			return max(int(connectionShare*float64(t.maxConnections(service)))/t.members(), minConnections)
 		},
 	})
 	t.byID[s.ID] = b
@@ -209,19 +225,45 @@
 	return out
 }
 
-// snapshot returns the entries of a service's servers.
-func (t *backendTable) snapshot(service string) []site.Server {
+// listed returns the entries of a service's servers.
+func (t *backendTable) listed(service string) []site.Server {
+	return t.entries(service, func(*backend) bool { return true })
+}
+
+// reachable returns them but for servers that could not be connected to lately.
+func (t *backendTable) reachable(service string, now time.Time) []site.Server {
+	return t.entries(service, func(b *backend) bool { return !now.Before(b.awayUntil) })
+}
+
+func (t *backendTable) entries(service string, keep func(b *backend) bool) []site.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []site.Server
 	for _, b := range t.byService[service] {
-		if b.goneAt.IsZero() {
+		if b.goneAt.IsZero() && keep(b) {
 			out = append(out, b.info)
 		}
 	}
 	return out
 }
 
+// versions tells whether a service has servers of a version, and of others, that
+// stay.
+func (t *backendTable) versions(service, version string) (has, hasOthers bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.byService[service] {
+		switch {
+		case !b.goneAt.IsZero() || b.info.Leaving:
+		case b.info.SoftwareVersion == version:
+			has = true
+		default:
+			hasOthers = true
+		}
+	}
+	return has, hasOthers
+}
+
 func (t *backendTable) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -316,20 +358,6 @@
 	p.server.refusals, p.server.awayUntil = 0, time.Time{}
 }
 
-// reachable returns the entries of a service's servers but for those that could
-// not be connected to lately.
-func (t *backendTable) reachable(service string, now time.Time) []site.Server {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []site.Server
-	for _, b := range t.byService[service] {
-		if b.goneAt.IsZero() && !now.Before(b.awayUntil) {
-			out = append(out, b.info)
-		}
-	}
-	return out
-}
-
 func (t *backendTable) peerSums(now time.Time) map[uint32]placement.Load {
 	sums := map[uint32]placement.Load{}
 	for key, p := range t.peerLoads {
--- a/internal/gateway/backends_test.go
+++ b/internal/gateway/backends_test.go
@@ -13,7 +13,7 @@
 func newTestTable(now time.Time, servers ...string) *backendTable {
 	table := newBackendTable(health.New(healthConfig, now))
 	table.members = func() int { return 1 }
-	table.maxConns = func(string) int { return 100 }
+	table.service = func(string) *site.Service { return nil }
 	for _, id := range servers {
 		table.put(site.Server{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 64}, now)
 	}
@@ -65,7 +65,9 @@
 	const memory = 100_000
 	now := time.Unix(1_900_000_000, 0)
 	table := newTestTable(now, "e-1", "e-2")
-	table.memoryOf = func(string) int { return memory }
+	table.service = func(string) *site.Service {
+		return &site.Service{Model: &site.Model{MemoryTokens: memory}}
+	}
 	table.byID["e-1"].own = placement.Load{Running: 4, Memory: memory}
 	table.byID["e-2"].own = placement.Load{Running: 10, Prefill: 2_000}
 	random := rand.New(rand.NewPCG(1, 2))
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -237,13 +237,13 @@
 func (d *duties) reportUsage(ctx context.Context, h platform.Holder) {
 	n := d.node
 	now := n.now()
-	millis := n.clock.unixMillis(now) - reportDelay.Milliseconds()
-	last := millis/n.set.UsageWindow.Milliseconds() - 1
+	wall := n.clock.unixMillis(now)
+	last := (wall-reportDelay.Milliseconds())/n.set.UsageWindow.Milliseconds() - 1
 	for w := last - reportWindows; w <= last; w++ {
 		if d.reported[w] || now.Sub(d.triedAt[w]) < reportAgain {
 			continue
 		}
-		if d.awaitsCounts(w, now) {
+		if d.awaitsCounts(w, wall, now) {
 			continue
 		}
 		d.triedAt[w] = now
@@ -276,10 +276,10 @@
 
 // awaitsCounts tells whether a window's report waits for VMs that have not told
 // their counts since its end: those that are cut off may be back in time.
-func (d *duties) awaitsCounts(window int64, now time.Time) bool {
+func (d *duties) awaitsCounts(window, wall int64, now time.Time) bool {
 	n := d.node
 	end := (window + 1) * n.set.UsageWindow.Milliseconds()
-	passed := time.Duration(n.clock.unixMillis(now)-end) * time.Millisecond
+	passed := time.Duration(wall-end) * time.Millisecond
 	return passed < n.live.Load().UsageLate-reportMargin && n.usage.Missing(now.Add(-passed), now) > 0
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -53,8 +53,8 @@
 	apply func(key string, value []byte, offset uint64)
 	// nudge is signalled when a peer has read further.
 	nudge chan struct{}
-	// away is true while this VM can't read the topic at the store.
-	away atomic.Bool
+	// failing counts the calls to the store in a row that failed.
+	failing atomic.Int32
 
 	// mu guards what peers ask for.
 	mu      sync.Mutex
@@ -64,8 +64,7 @@
 	base uint64
 
 	// The fields below are used by the loop alone.
-	fresh   bool
-	failing int
+	fresh bool
 	// relayFrom is when peers are asked again.
 	relayFrom time.Time
 }
@@ -76,9 +75,9 @@
 
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		behind := f.isBehind()
+		peer, behind := f.behind()
 		if behind && !f.node.now().Before(f.relayFrom) {
-			if f.fromPeer(ctx) {
+			if f.fromPeer(ctx, peer) {
 				continue
 			}
 			f.relayFrom = f.node.now().Add(relayPause)
@@ -106,7 +105,7 @@
 		case errors.Is(err, errNudged):
 		default:
 			f.failed(err)
-			f.await(ctx, min(followBackoff<<min(f.failing, 4), followBackoffMax))
+			f.await(ctx, min(followBackoff<<min(f.failing.Load(), 4), followBackoffMax))
 		}
 	}
 }
@@ -125,29 +124,28 @@
 }
 
 func (f *follower) reached() {
-	if f.failing > 0 {
-		f.node.log.Event("store", "regained", "topic", f.topic, "failures", f.failing)
+	if failures := f.failing.Swap(0); failures > 0 {
+		f.node.log.Event("store", "regained", "topic", f.topic, "failures", int(failures))
 	}
-	f.failing = 0
-	f.away.Store(false)
 	f.node.contact.touch(f.topic, f.node.now())
 	f.node.contact.set(f.topic, true)
 }
 
 func (f *follower) failed(err error) {
-	if f.failing == 0 {
+	if f.failing.Add(1) == 1 {
 		f.node.log.Failure("store", "lost", "topic", f.topic, "error", err)
 	}
-	f.failing++
-	f.away.Store(true)
 	f.relayFrom = time.Time{}
 	f.node.contact.set(f.topic, false)
 }
 
-// isBehind tells whether a peer has read further.
-func (f *follower) isBehind() bool {
-	_, end := f.node.members.furthest(f.topic)
-	return end > f.end()
+// isAway tells whether this VM can't read the topic at the store.
+func (f *follower) isAway() bool { return f.failing.Load() > 0 }
+
+// behind tells whether a peer has read further, and which one.
+func (f *follower) behind() (peer string, behind bool) {
+	peer, end := f.node.members.furthest(f.topic)
+	return peer, end > f.end()
 }
 
 func (f *follower) end() uint64 {
@@ -165,14 +163,10 @@
 }
 
 // fromPeer gets the records from a peer that has read further.
-func (f *follower) fromPeer(ctx context.Context) bool {
-	address, end := f.node.members.furthest(f.topic)
+func (f *follower) fromPeer(ctx context.Context, address string) bool {
 	from := f.end()
-	if end <= from {
-		return false
-	}
 	timeout := relayTimeout
-	if f.failing > 0 {
+	if f.isAway() {
 		timeout = relayPatience
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -13,7 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"coltsfootpath.example/coltsfootpath/internal/coordination/duty"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
@@ -330,7 +329,7 @@
 		return
 	}
 	n.clock.hear(d.VM, d.WallMillis, now)
-	n.duties.heard(duty.Word{Fence: word.Fence, End: word.End, At: word.At}, now)
+	n.duties.heard(word.Word, now)
 	n.nudge(d)
 	if news.Key == "" {
 		return
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -106,17 +106,7 @@
 	if side == rollout.Any {
 		return versionChoice{}
 	}
-	hasNew, hasOld := false, false
-	for _, s := range v.node.backends.snapshot(service) {
-		if s.Leaving {
-			continue
-		}
-		if s.SoftwareVersion == target {
-			hasNew = true
-		} else {
-			hasOld = true
-		}
-	}
+	hasNew, hasOld := v.node.backends.versions(service, target)
 	if side == rollout.New && !hasNew && hasOld {
 		side = rollout.Old
 	}
@@ -184,10 +174,7 @@
 		if m.Phase == rollout.Unknown && !v.recall(ctx, m) {
 			continue
 		}
-		hasServers := false
-		for _, s := range v.node.backends.snapshot(m.Service) {
-			hasServers = hasServers || s.SoftwareVersion == m.Target && !s.Leaving
-		}
+		hasServers, _ := v.node.backends.versions(m.Service, m.Target)
 		e := v.evidence(m, now)
 		next := rollout.DefaultConfig.Next(m.Phase, e, now.Sub(m.SeenAt), m.Within, hasServers)
 		if v.table.Heard(m.Service, m.Order, next, now) {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -150,30 +150,18 @@
 	n.moves = newVersionMoves(n)
 	n.retries = retry.NewWindows(retryConfig(&set), n.members.count)
 	n.backends.members = n.members.count
-	n.backends.maxConns = n.maxConnections
-	n.backends.memoryOf = n.engineMemory
+	n.backends.service = n.service
 	return n
 }
 
 func (n *Node) now() time.Time { return time.Now() }
 
-func (n *Node) maxConnections(service string) int {
+// service is what the document in force says of a service, nil where it does not.
+func (n *Node) service(name string) *site.Service {
 	if d := n.document.Load(); d != nil {
-		if s, ok := d.Services[service]; ok && s.MaxConnections > 0 {
-			return s.MaxConnections
-		}
-	}
-	return 100
-}
-
-// engineMemory is what the document says of a service's engines.
-func (n *Node) engineMemory(service string) int {
-	if d := n.document.Load(); d != nil {
-		if s, ok := d.Services[service]; ok && s.Model != nil {
-			return s.Model.MemoryTokens
-		}
+		return d.Services[name]
 	}
-	return 0
+	return nil
 }
 
 func (n *Node) listen() error {
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -164,8 +164,8 @@
 func (o *orderer) present(service string) fleetplan.Counts {
 	out := fleetplan.Counts{}
 	now := o.node.now()
-	servers := o.node.backends.snapshot(service)
-	if o.node.servers.away.Load() || now.Sub(o.node.contact.last(platform.ServersTopic)) > entriesOld {
+	servers := o.node.backends.listed(service)
+	if o.node.servers.isAway() || now.Sub(o.node.contact.last(platform.ServersTopic)) > entriesOld {
 		if reached := o.node.backends.reachable(service, now); len(reached) > 0 {
 			servers = reached
 		}
