gateway: log the request content and the server's state for each lost attempt

The logs could not tell whether resubmissions under new ids carry one request, nor whether a server ended or only a connection. Each request line now has the hash of its content; each lost attempt is followed by one connection to its server, shared by the attempts lost there at the same time, and by a line and a counter with the result. No decision uses them yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -316,13 +316,9 @@
 }
 
 func (q *request) upstreamRequest(p *placedAttempt, now time.Time) upstream.Request {
-	workspace := ""
-	if q.workspace != nil {
-		workspace = q.workspace.Name
-	}
 	forward := platform.ForwardedFields{
 		Server:    p.server.info.ID,
-		Workspace: workspace,
+		Workspace: q.workspaceName(),
 		Timeout:   q.deadline.Sub(now),
 		Priority:  q.priority(),
 		LastEvent: q.lastEventID,
@@ -384,6 +380,11 @@
 func (a *attempt) handleLost(err error) attemptOutcome {
 	n := a.q.node
 	outcome := a.outcomeOr(outcomeLost)
+	if outcome != outcomeCallerLeft {
+		n.serverChecks.add(a.placed.server, loss{
+			requestID: a.q.call.ID, content: a.q.content, outcome: outcome, disconnected: outcome == outcomeLost && isDisconnect(err), at: n.now(),
+		})
+	}
 	if outcome == outcomeLost || outcome == outcomeUnresponsive {
 		n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: true}, n.now())
 		n.log.Failure("attempt", outcome.String(), "id", a.q.call.ID, "server", a.placed.server.info.ID, "after", n.now().Sub(a.startedAt), "events", a.q.lastEventID, "error", err)
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -56,6 +56,8 @@
 // backend is a backend server with this node's load on it.
 type backend struct {
 	info deployment.Server
+	// id and service are those of info. They do not change.
+	id, service string
 	// hash is the hash of the server's ID. Digests identify the server by
 	// shortHash, its lower half.
 	hash      uint64
@@ -143,7 +145,7 @@
 		previous, known = old.info, true
 		old.pool.Close()
 	}
-	b := &backend{info: s, hash: xxhash.Sum64String(s.ID), cachedParts: map[uint64]time.Time{}}
+	b := &backend{info: s, id: s.ID, service: s.Service, hash: xxhash.Sum64String(s.ID), cachedParts: map[uint64]time.Time{}}
 	b.shortHash = uint32(b.hash)
 	service := s.Service
 	b.pool = upstream.NewPool(s.Address, upstream.Config{
@@ -172,6 +174,14 @@
 	return b.info, true
 }
 
+// isLeaving reports whether the server has announced that it will stop, or its
+// entry was removed.
+func (t *backendTable) isLeaving(b *backend) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return b.info.Leaving || !b.removedAt.IsZero()
+}
+
 // sweep deletes servers whose removal is longer ago than maxUseAfterRemoval, drops
 // expired cached parts and peer loads, and closes idle connections.
 func (t *backendTable) sweep(now time.Time) {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -116,7 +117,9 @@
 	workspace *deployment.Workspace
 	service   string
 	body      []byte
-	deadline  time.Time
+	// content identifies the request content.
+	content  uint64
+	deadline time.Time
 	// cost is the amount charged to the workspace's quota, in tokens or requests.
 	cost float64
 
@@ -158,6 +161,7 @@
 	if rej := q.readBody(); rej != nil {
 		return rej
 	}
+	q.content = contentHash(q.r.Host, q.r.Method, q.r.RequestURI, q.workspaceName(), q.body)
 	q.setDeadline()
 	q.service = chooseTarget(q.route, q.random.IntN)
 	return q.admitQuota()
@@ -323,6 +327,23 @@
 	return q.route.Name
 }
 
+// workspaceName returns the name of the request's workspace, empty if it has none.
+func (q *request) workspaceName() string {
+	if q.workspace == nil {
+		return ""
+	}
+	return q.workspace.Name
+}
+
+// contentName formats a request content for log lines and the store, empty if none
+// has been computed.
+func contentName(content uint64) string {
+	if content == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", content)
+}
+
 // logResult logs the request's outcome.
 func (q *request) logResult(outcome, reason string, status int) {
 	n := q.node
@@ -330,15 +351,11 @@
 	if q.document != nil {
 		version = q.document.Version
 	}
-	workspace := ""
-	if q.workspace != nil {
-		workspace = q.workspace.Name
-	}
 	write := n.log.Event
 	if outcome != "served" {
 		write = n.log.Failure
 	}
-	write("request", outcome, "id", q.call.ID, "reason", reason, "status", status, "route", q.routeName(), "workspace", workspace,
-		"service", q.service, "server", q.lastServer, "sends", q.sentCount, "predicted", q.predictedFirstToken, "uncached", q.uncachedTokens, "first", q.timeToFirstByte, "took", n.now().Sub(q.startedAt),
+	write("request", outcome, "id", q.call.ID, "reason", reason, "status", status, "route", q.routeName(), "workspace", q.workspaceName(),
+		"service", q.service, "content", contentName(q.content), "server", q.lastServer, "sends", q.sentCount, "predicted", q.predictedFirstToken, "uncached", q.uncachedTokens, "first", q.timeToFirstByte, "took", n.now().Sub(q.startedAt),
 		"left", q.call.Timeout, "prompt", q.call.PromptTokens, "cost", q.cost, "document", version, "trail", q.trail)
 }
--- /dev/null
+++ b/internal/gateway/losses.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// serverCheckDelay is the time between a lost attempt and the check whether its
+	// server still listens. A process that ends closes its connections before its
+	// listener.
+	serverCheckDelay = 100 * time.Millisecond
+	// serverCheckTimeout bounds the check.
+	serverCheckTimeout = 500 * time.Millisecond
+)
+
+// serverState is the state of a backend server after an attempt on it was lost.
+type serverState int
+
+const (
+	// serverUnknown means that the server neither accepted nor refused a connection.
+	serverUnknown serverState = iota
+	// serverListening means that the server accepted a connection.
+	serverListening
+	// serverEnded means that nothing listens at the server's address.
+	serverEnded
+	// serverLeaving means that the server had announced that it would stop.
+	serverLeaving
+)
+
+var serverStateNames = [...]string{"unknown", "listening", "ended", "leaving"}
+
+func (s serverState) String() string { return serverStateNames[s] }
+
+// loss is an attempt that may have run and whose answer is incomplete.
+type loss struct {
+	requestID string
+	// content identifies the request content, see contentHash.
+	content uint64
+	outcome attemptOutcome
+	// disconnected is true if the connection was closed or reset by its other end.
+	disconnected bool
+	at           time.Time
+}
+
+// contentHash identifies the content of a request, which its caller may send again
+// under another id and to another VM. The query counts only where there is no body.
+func contentHash(host, method, target, workspace string, body []byte) uint64 {
+	if len(body) > 0 {
+		target, _, _ = strings.Cut(target, "?")
+	}
+	h := xxhash.New()
+	for _, s := range []string{strings.ToLower(host), method, target, workspace} {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// isDisconnect reports whether err means that the other end has closed or reset
+// the connection.
+func isDisconnect(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
+// serverChecks determines the state of servers after lost attempts. The attempts
+// that a server lost at about the same time share one check.
+type serverChecks struct {
+	node *Node
+
+	mu      sync.Mutex
+	waiting map[*backend][]loss
+}
+
+func newServerChecks(n *Node) *serverChecks {
+	return &serverChecks{node: n, waiting: map[*backend][]loss{}}
+}
+
+// add checks the server in the background and then handles the loss.
+func (c *serverChecks) add(b *backend, l loss) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	losses, running := c.waiting[b]
+	c.waiting[b] = append(losses, l)
+	if !running {
+		c.node.loops.Go(func() { c.check(b) })
+	}
+}
+
+func (c *serverChecks) check(b *backend) {
+	n := c.node
+	sleep(n.ctx, serverCheckDelay)
+	state := serverLeaving
+	if !n.backends.isLeaving(b) {
+		state = n.checkServer(b)
+	}
+	// The announcement may have been read during the check.
+	if n.backends.isLeaving(b) {
+		state = serverLeaving
+	}
+	c.mu.Lock()
+	losses := c.waiting[b]
+	delete(c.waiting, b)
+	c.mu.Unlock()
+	for _, l := range losses {
+		n.handleLoss(b, l, state)
+	}
+}
+
+func (n *Node) checkServer(b *backend) serverState {
+	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
+	defer cancel()
+	switch err := b.pool.CheckListening(ctx); {
+	case err == nil:
+		return serverListening
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return serverEnded
+	}
+	return serverUnknown
+}
+
+// handleLoss logs and counts a lost attempt with the state of its server.
+func (n *Node) handleLoss(b *backend, l loss, state serverState) {
+	n.log.Failure("content", "lost", "content", contentName(l.content), "id", l.requestID, "server", b.id, "outcome", l.outcome.String(),
+		"server-state", state.String(), "disconnected", l.disconnected)
+	n.metrics.contentLosses.WithLabelValues(b.service, state.String()).Inc()
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	answerSeconds      *prometheus.HistogramVec
 	attempts           *prometheus.CounterVec
 	platformCalls      *prometheus.CounterVec
+	contentLosses      *prometheus.CounterVec
 	undecodableRecords *prometheus.CounterVec
 	healthVerdicts     *prometheus.CounterVec
 	duties             *prometheus.CounterVec
@@ -42,6 +43,7 @@
 		answerSeconds:      histogram("answer_seconds", "Time to the end of an answer."),
 		attempts:           counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
 		platformCalls:      counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
+		contentLosses:      counter("content_losses_total", "Attempts whose answer was lost, by service and state of the server afterwards.", "service", "server_state"),
 		undecodableRecords: counter("unreadable_total", "Undecodable records in the platform's store, by topic.", "topic"),
 		healthVerdicts:     counter("verdicts_total", "Changes of health verdicts by service and phase.", "service", "phase"),
 		duties:             counter("duties_total", "Calls made for singleton duties, by duty and outcome.", "duty", "outcome"),
@@ -53,7 +55,7 @@
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.platformCalls, m.undecodableRecords, m.healthVerdicts, m.duties,
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.platformCalls, m.contentLosses, m.undecodableRecords, m.healthVerdicts, m.duties,
 		m.openRequests, m.documentVersion, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -95,6 +95,7 @@
 	storeReads       *storeReads
 	clock            *wallClock
 	work             *workMeter
+	serverChecks     *serverChecks
 	moves            *versionMoves
 
 	openRequests atomic.Int64
@@ -150,6 +151,7 @@
 	n.serverFollower = newFollower(n, platform.ServersTopic, serverReadPause, n.applyServerRecord)
 	n.peerPool = peer.NewPool()
 	n.duties = newDuties(n)
+	n.serverChecks = newServerChecks(n)
 	n.moves = newVersionMoves(n)
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
 	n.backends.members = n.members.count
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -360,6 +360,15 @@
 	return &conn{Conn: raw, headLimit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
+// CheckListening opens a connection to the server and closes it again.
+func (p *Pool) CheckListening(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // release makes c idle, or closes it if the pool is closed.
 func (p *Pool) release(c *conn) {
 	c.idleSince = time.Now()
