--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -522,6 +522,35 @@
 	return false
 }
 
+// IsReachable reports whether this VM has received a digest of the VM at address, with
+// this incarnation, within FreshTimeout.
+func (c *Core) IsReachable(address string, incarnation uint64, now time.Time) bool {
+	p := c.peers[address]
+	return p != nil && p.incarnation == incarnation && c.isFresh(p.lastReceivedAt, now)
+}
+
+// IsComplete reports whether this VM receives the state of all VMs that were seen
+// within TopologyTimeout: in a mesh from each, otherwise from a hub of its zone or,
+// on a hub, from its zone's VMs and from a hub of each other zone.
+func (c *Core) IsComplete(now time.Time) bool {
+	mesh := c.IsMesh(now)
+	if !mesh && !c.isHub(now) {
+		return c.isFresh(c.allReceivedAt, now)
+	}
+	for _, p := range c.peers {
+		if p.Draining || now.Sub(p.lastSeenAt()) >= c.cfg.TopologyTimeout {
+			continue
+		}
+		if (mesh || p.AvailabilityZone == c.self.AvailabilityZone) && !c.isFresh(p.lastReceivedAt, now) {
+			return false
+		}
+		if source := c.peers[c.zoneHubs[p.AvailabilityZone]]; !mesh && p.AvailabilityZone != c.self.AvailabilityZone && (source == nil || !c.isFresh(source.zoneDigestAt, now)) {
+			return false
+		}
+	}
+	return true
+}
+
 // FurthestReader returns the address of the peer that has read furthest in the
 // document topic or, if inDocumentTopic is false, in the servers topic, and the
 // end offset up to which it has read.
--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -7,6 +7,8 @@
 // between zones grows only with the number of zones.
 package gossip
 
+import "coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
+
 // Kind is the set of VMs over which a digest aggregates.
 type Kind int
 
@@ -71,6 +73,9 @@
 	Usage          []Usage
 	Members        []Member
 	Moves          []Move
+	// Contents holds the request contents that have lost servers, with news for the
+	// receivers.
+	Contents []quarantine.Entry
 }
 
 // Move reports the state of a service's version move. Order is the offset of the
--- /dev/null
+++ b/internal/coordination/quarantine/quarantine.go
@@ -0,0 +1,286 @@
+// Package quarantine decides which request contents are no longer sent to backend
+// servers because servers end or reset their connections whenever they run them. A
+// caller may send such a request again under a new id and to any entry VM, so what
+// one VM observes is recorded for the content and merged with the observations of
+// other VMs.
+//
+// An Entry holds the events of one content. Merging two entries is commutative and
+// idempotent: VMs may receive them from peers and from the store in any order and
+// any number of times.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Kind is the kind of an Event.
+type Kind uint8
+
+// Kinds of events.
+const (
+	// Disconnected means that a server closed the connection before the answer was
+	// complete, and still accepted connections afterwards.
+	Disconnected Kind = iota + 1
+	// Ended means that a server ended while it ran the content.
+	Ended
+	// TrialStarted means that a quarantined content is sent to one server.
+	TrialStarted
+	// TrialPassed means that the server of a trial gave a complete answer.
+	TrialPassed
+	// Lifted means that earlier events no longer count, see Entry.Generation.
+	Lifted
+)
+
+var kindNames = [...]string{"", "disconnected", "ended", "trial-started", "trial-passed", "lifted"}
+
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// Event is something that happened to a request content.
+type Event struct {
+	Kind Kind
+	// Server is the hash of the server's ID.
+	Server uint32
+	// AtMillis is the Unix time in milliseconds.
+	AtMillis int64
+}
+
+// Entry is the state of one request content as VMs exchange it.
+type Entry struct {
+	Content uint64
+	// Generation increases when the quarantine is lifted. Of two entries with
+	// different generations, the older one is discarded.
+	Generation uint32
+	// Stored is true if the store holds a quarantine of this generation.
+	Stored bool
+	Events []Event
+}
+
+const (
+	// quarantineWeight is the total weight of losses at which a content is
+	// quarantined: three servers that ended. relapseWeight replaces it after a
+	// quarantine was lifted.
+	quarantineWeight   = 6
+	relapseWeight      = 2
+	endedWeight        = 2
+	disconnectedWeight = 1
+	// minDisconnectedServers is the number of different servers that must have
+	// disconnected or ended if not all of the weight is that of ended servers.
+	minDisconnectedServers = 3
+	// sameLossWindow is the time within which losses of one server count as one.
+	sameLossWindow = 1500 * time.Millisecond
+	// maxLosses bounds the losses of an entry.
+	maxLosses = 12
+	// maxTrials bounds the trials of one generation, and trialPasses is the number of
+	// consecutive passed trials that lift a quarantine. A content may end only some
+	// of the servers.
+	maxTrials   = 3
+	trialPasses = 2
+	// trialTimeout is the time after which a trial without a result counts as failed.
+	trialTimeout = 30 * time.Second
+	// Retention is the time after the last event at which an entry is forgotten.
+	Retention = time.Hour
+	// maxClockSkew bounds how far in the future an event may lie.
+	maxClockSkew = 10 * time.Second
+)
+
+// trialDelays are the times from the last loss to a trial, by the number of failed
+// trials. There is no trial after more of them.
+var trialDelays = []time.Duration{5 * time.Second, 2 * time.Minute}
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
+
+func (e Event) isLoss() bool { return e.Kind == Ended || e.Kind == Disconnected }
+
+// lossSlot returns the number of the sameLossWindow in which the event lies. An entry
+// holds one loss for each server and slot, so that the order in which VMs receive
+// losses does not matter.
+func (e Event) lossSlot() int64 { return e.AtMillis / millis(sameLossWindow) }
+
+// add adds an event and reports whether that changed the entry.
+func (e *Entry) add(ev Event) bool {
+	for i, x := range e.Events {
+		if x == ev {
+			return false
+		}
+		if ev.isLoss() && x.isLoss() && x.Server == ev.Server && x.lossSlot() == ev.lossSlot() {
+			joined := Event{Kind: max(x.Kind, ev.Kind), Server: x.Server, AtMillis: min(x.AtMillis, ev.AtMillis)}
+			if joined == x {
+				return false
+			}
+			e.Events[i] = joined
+			e.sort()
+			return true
+		}
+	}
+	e.Events = append(e.Events, ev)
+	e.sort()
+	e.dropOldLosses()
+	return slices.Contains(e.Events, ev)
+}
+
+func (e *Entry) sort() {
+	slices.SortFunc(e.Events, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.AtMillis, b.AtMillis), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Server, b.Server))
+	})
+}
+
+// dropOldLosses drops the losses with the lowest slots beyond maxLosses.
+func (e *Entry) dropOldLosses() {
+	var losses []Event
+	for _, ev := range e.Events {
+		if ev.isLoss() {
+			losses = append(losses, ev)
+		}
+	}
+	if len(losses) <= maxLosses {
+		return
+	}
+	slices.SortFunc(losses, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.lossSlot(), b.lossSlot()), cmp.Compare(a.Server, b.Server))
+	})
+	dropped := losses[:len(losses)-maxLosses]
+	e.Events = slices.DeleteFunc(e.Events, func(ev Event) bool { return slices.Contains(dropped, ev) })
+}
+
+// merge adds the events of other and reports whether that changed the entry.
+func (e *Entry) merge(other *Entry) bool {
+	if other.Generation < e.Generation {
+		return false
+	}
+	if other.Generation > e.Generation {
+		*e = Entry{Content: e.Content, Generation: other.Generation, Stored: other.Stored, Events: slices.Clone(other.Events)}
+		return true
+	}
+	changed := other.Stored && !e.Stored
+	e.Stored = e.Stored || other.Stored
+	for _, ev := range other.Events {
+		changed = e.add(ev) || changed
+	}
+	return changed
+}
+
+// lastAtMillis returns the time of the last event of the given kinds, of any kind
+// if none is given, and 0 if there is none.
+func (e *Entry) lastAtMillis(kinds ...Kind) int64 {
+	for _, ev := range slices.Backward(e.Events) {
+		if len(kinds) == 0 || slices.Contains(kinds, ev.Kind) {
+			return ev.AtMillis
+		}
+	}
+	return 0
+}
+
+// IsExpired reports whether the entry is forgotten.
+func (e *Entry) IsExpired(now time.Time) bool { return e.isExpired(now.UnixMilli()) }
+
+func (e *Entry) isExpired(nowMillis int64) bool {
+	return nowMillis-e.lastAtMillis() > millis(Retention)
+}
+
+// lossCounts are the losses of an entry by kind, and the number of different
+// servers.
+type lossCounts struct{ ended, disconnected, servers int }
+
+// losses counts the losses of a server within sameLossWindow as one: several VMs, and
+// several requests of one VM, observe the same loss.
+func (e *Entry) losses() lossCounts {
+	var counted []Event
+	for _, ev := range e.Events {
+		if !ev.isLoss() {
+			continue
+		}
+		same := slices.IndexFunc(counted, func(x Event) bool {
+			return x.Server == ev.Server && ev.AtMillis-x.AtMillis < millis(sameLossWindow)
+		})
+		if same < 0 {
+			counted = append(counted, ev)
+			continue
+		}
+		counted[same].Kind = max(counted[same].Kind, ev.Kind)
+	}
+	var c lossCounts
+	var servers []uint32
+	for _, ev := range counted {
+		if ev.Kind == Ended {
+			c.ended++
+		} else {
+			c.disconnected++
+		}
+		if !slices.Contains(servers, ev.Server) {
+			servers = append(servers, ev.Server)
+		}
+	}
+	c.servers = len(servers)
+	return c
+}
+
+// isQuarantined reports whether the losses suffice for a quarantine.
+// countDisconnected states whether losses whose server went on count.
+func (e *Entry) isQuarantined(countDisconnected bool) bool {
+	required := quarantineWeight
+	if e.Generation > 0 {
+		required = relapseWeight
+	}
+	c := e.losses()
+	if c.ended*endedWeight >= required {
+		return true
+	}
+	return countDisconnected && c.ended*endedWeight+c.disconnected*disconnectedWeight >= required &&
+		(c.servers >= minDisconnectedServers || e.Generation > 0)
+}
+
+// trials is the history of an entry's trials.
+type trials struct {
+	started, passed int
+	// passedInRow is the number of trials passed since the last loss.
+	passedInRow int
+	// openUntilMillis is the end of the timeout of a trial without a result, 0 if
+	// there is none.
+	openUntilMillis int64
+}
+
+func (e *Entry) trials() trials {
+	var t trials
+	for _, ev := range e.Events {
+		switch ev.Kind {
+		case TrialStarted:
+			t.started++
+			t.openUntilMillis = ev.AtMillis + millis(trialTimeout)
+		case TrialPassed:
+			t.passed++
+			t.passedInRow++
+			t.openUntilMillis = 0
+		case Ended, Disconnected:
+			t.passedInRow = 0
+			t.openUntilMillis = 0
+		}
+	}
+	return t
+}
+
+// nextTrialMillis returns the earliest time of the next trial. ok is false if there
+// is none.
+func (e *Entry) nextTrialMillis() (at int64, ok bool) {
+	t := e.trials()
+	failed := t.started - t.passed
+	if t.started >= maxTrials || failed >= len(trialDelays) {
+		return 0, false
+	}
+	if t.passedInRow > 0 {
+		return t.openUntilMillis, true
+	}
+	return max(e.lastAtMillis(Ended, Disconnected)+millis(trialDelays[failed]), t.openUntilMillis), true
+}
+
+// Lift returns the entry that ends a quarantine. Events before it no longer count,
+// and the next loss quarantines the content again.
+func (e *Entry) Lift(nowMillis int64) Entry {
+	return Entry{Content: e.Content, Generation: e.Generation + 1, Events: []Event{{Kind: Lifted, AtMillis: nowMillis}}}
+}
--- /dev/null
+++ b/internal/coordination/quarantine/table.go
@@ -0,0 +1,519 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxContents bounds the contents with losses in a table. Beyond it, a content that
+	// is not quarantined makes room while these take more than half of the table,
+	// and otherwise the one that was quarantined first.
+	maxContents = 4096
+	// maxRecent bounds the contents in each half of the recently served ones.
+	maxRecent = 4096
+	// recentPeriod is the time after which the older half of the recently served
+	// contents is dropped.
+	recentPeriod = 15 * time.Second
+	// innocentCredit is the credit from which a content is not quarantined on this
+	// VM. Each answer adds 1, up to maxCredit, and each loss subtracts lossCost.
+	innocentCredit = 8
+	maxCredit      = 32
+	minCredit      = -12
+	lossCost       = 3
+	// ratePeriod is half of the time over which the losses of a service's other
+	// contents are counted.
+	ratePeriod = 5 * time.Second
+	// minRateSamples and maxOthersLost bound the share of other contents that may
+	// be lost too: beyond it, a disconnection says nothing about a content.
+	minRateSamples = 4
+	maxOthersLost  = 0.25
+	// restartWindow is the time before the start of a server's process within which
+	// its losses are attributed to the end of the previous process.
+	restartWindow = 30 * time.Second
+	// maxUnresolved bounds the losses that wait for news of their server.
+	maxUnresolved = 4096
+	// urgentSends is the number of digests that carry an event of a content with at
+	// least endedWeight. relayedSends is that number for events received from other
+	// VMs and for other contents.
+	urgentSends  = 5
+	relayedSends = 2
+	// relayDelay is the time after which one VM stores what others should have stored.
+	relayDelay = 2 * time.Second
+	// sweepOfferPeriods is the number of digests between two that repeat an entry
+	// without news.
+	sweepOfferPeriods = 5
+)
+
+// Decision is the result of Check.
+type Decision struct {
+	// Refused is true if the content must not be sent to a server.
+	Refused bool
+	// TrialDue is true if a refused content may be sent to one server, once the trial
+	// is recorded in the store.
+	TrialDue bool
+	// Ended and Disconnected count the losses, and LastLossMillis is the time of the
+	// last one. Source names the origin of the last news.
+	Ended, Disconnected int
+	LastLossMillis      int64
+	Source              string
+}
+
+type record struct {
+	Entry
+	// weight is the weight of the losses, at most quarantineWeight.
+	weight int
+	source string
+	// unwritten is true while the store may lack events that this VM observed.
+	unwritten bool
+	// sends is the number of digests that have to carry the entry.
+	sends int
+}
+
+// unresolved is a loss on a server of which it is unknown whether it ended.
+type unresolved struct {
+	content  uint64
+	server   uint32
+	atMillis int64
+}
+
+// lossRate counts the contents of a service that were answered and those that were
+// disconnected, in two periods.
+type lossRate struct {
+	startedAt time.Time
+	counts    [2]struct {
+		answered int
+		lost     map[uint64]bool
+	}
+}
+
+// Table holds the request contents with losses that one VM knows. It is safe for
+// concurrent use. Its lock is a leaf.
+type Table struct {
+	mu      sync.Mutex
+	records map[uint64]*record
+	// credit holds the credit of recently served contents in two halves, by age.
+	credit          [2]map[uint64]int
+	creditStartedAt time.Time
+	rates           map[string]*lossRate
+	unresolved      []unresolved
+	periods         int
+	offered         uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{records: map[uint64]*record{}, credit: [2]map[uint64]int{{}, {}}, rates: map[string]*lossRate{}}
+}
+
+// Check decides whether a content may be sent to a server of the service.
+func (t *Table) Check(content uint64, service string, now time.Time) Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(content, now)
+	if r == nil {
+		return Decision{}
+	}
+	c := r.losses()
+	d := Decision{Ended: c.ended, Disconnected: c.disconnected, LastLossMillis: r.lastAtMillis(Ended, Disconnected), Source: r.source}
+	d.Refused = r.isQuarantined(!t.othersAreLost(service, content, now)) && t.creditOf(content, now) < innocentCredit
+	if d.Refused {
+		at, ok := r.nextTrialMillis()
+		d.TrialDue = ok && now.UnixMilli() >= at
+	}
+	return d
+}
+
+// record returns the record of a content, or nil if there is none.
+func (t *Table) record(content uint64, now time.Time) *record {
+	r := t.records[content]
+	if r != nil && r.isExpired(now.UnixMilli()) {
+		delete(t.records, content)
+		return nil
+	}
+	return r
+}
+
+func (t *Table) ensureRecord(content uint64, now time.Time) *record {
+	if r := t.record(content, now); r != nil {
+		return r
+	}
+	if len(t.records) >= maxContents {
+		t.evict()
+	}
+	r := &record{Entry: Entry{Content: content}}
+	t.records[content] = r
+	return r
+}
+
+func (t *Table) evict() {
+	order := func(a, b *record) int {
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.lastAtMillis(), b.lastAtMillis()), cmp.Compare(a.Content, b.Content))
+	}
+	var lightest, oldest *record
+	light := 0
+	for _, r := range t.records {
+		if r.isHeavy() {
+			if oldest == nil || order(r, oldest) < 0 {
+				oldest = r
+			}
+			continue
+		}
+		light++
+		if lightest == nil || order(r, lightest) < 0 {
+			lightest = r
+		}
+	}
+	victim := lightest
+	if light < maxContents/2 && oldest != nil {
+		victim = oldest
+	}
+	delete(t.records, victim.Content)
+}
+
+// isHeavy reports whether the content is or was quarantined, perhaps only on VMs on
+// which disconnections count.
+func (r *record) isHeavy() bool { return r.weight >= quarantineWeight || r.Generation > 0 }
+
+// update follows a change of the entry.
+func (r *record) update(source string, sends int) {
+	c := r.losses()
+	r.weight = min(c.ended*endedWeight+c.disconnected*disconnectedWeight, quarantineWeight)
+	if r.weight < endedWeight && r.Generation == 0 {
+		sends = min(sends, relayedSends)
+	}
+	r.source, r.sends = source, max(r.sends, sends)
+	r.unwritten = r.unwritten || source == SourceSelf
+}
+
+// RecordAnswer records that a server answered the content completely.
+func (t *Table) RecordAnswer(content uint64, service string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addCredit(content, 1, now)
+	t.rate(service, now).counts[0].answered++
+}
+
+// RecordLoss records that a server ended (kind Ended) or disconnected (kind
+// Disconnected) while it ran the content. It reports whether the loss was new.
+func (t *Table) RecordLoss(content uint64, service string, server uint32, kind Kind, at, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addCredit(content, -lossCost, now)
+	if kind == Disconnected {
+		t.rate(service, now).counts[0].lost[content] = true
+		t.addUnresolved(content, server, at)
+	}
+	return t.addEvent(content, Event{Kind: kind, Server: server, AtMillis: at.UnixMilli()}, now)
+}
+
+// RecordUnresolved records that it is unknown whether a server ended while it ran
+// the content. The loss counts if RecordRestart shows that it did.
+func (t *Table) RecordUnresolved(content uint64, server uint32, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addUnresolved(content, server, at)
+}
+
+func (t *Table) addUnresolved(content uint64, server uint32, at time.Time) {
+	if len(t.unresolved) >= maxUnresolved {
+		t.unresolved = t.unresolved[1:]
+	}
+	t.unresolved = append(t.unresolved, unresolved{content, server, at.UnixMilli()})
+}
+
+func (t *Table) addEvent(content uint64, ev Event, now time.Time) bool {
+	r := t.ensureRecord(content, now)
+	if !r.add(ev) {
+		return false
+	}
+	r.update(SourceSelf, urgentSends)
+	return true
+}
+
+// SourceSelf is the source of events that this VM has observed.
+const SourceSelf = "self"
+
+// RecordRestart records that a server's process started, and returns the contents
+// whose losses are attributed to the end of the previous one.
+func (t *Table) RecordRestart(server uint32, startedAt, now time.Time) []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var contents []uint64
+	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolved) bool {
+		before := startedAt.UnixMilli() - u.atMillis
+		if u.server != server || before < 0 || before > millis(restartWindow) {
+			return now.UnixMilli()-u.atMillis > millis(2*restartWindow)
+		}
+		if t.addEvent(u.content, Event{Kind: Ended, Server: server, AtMillis: u.atMillis}, now) {
+			contents = append(contents, u.content)
+		}
+		return true
+	})
+	return contents
+}
+
+// TrialEntry returns the content's entry with a trial that starts now.
+func (t *Table) TrialEntry(content uint64, now time.Time) Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := Entry{Content: content}
+	if r := t.record(content, now); r != nil {
+		e = r.clone()
+	}
+	e.Stored = true
+	e.add(Event{Kind: TrialStarted, AtMillis: now.UnixMilli()})
+	return e
+}
+
+func (e *Entry) clone() Entry {
+	c := *e
+	c.Events = slices.Clone(e.Events)
+	return c
+}
+
+// RecordTrialPassed records that the server of a trial answered completely. It
+// reports whether that lifted the quarantine.
+func (t *Table) RecordTrialPassed(content uint64, now time.Time) (lifted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.addEvent(content, Event{Kind: TrialPassed, AtMillis: now.UnixMilli()}, now) {
+		return false
+	}
+	r := t.records[content]
+	if r.trials().passedInRow < trialPasses {
+		return false
+	}
+	r.Entry = r.Lift(now.UnixMilli())
+	r.update(SourceSelf, urgentSends)
+	return true
+}
+
+// LostServers returns the hashes of the servers that were lost while they ran the
+// content.
+func (t *Table) LostServers(content uint64, now time.Time) map[uint32]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	servers := map[uint32]bool{}
+	if r := t.record(content, now); r != nil {
+		for _, ev := range r.Events {
+			if ev.isLoss() {
+				servers[ev.Server] = true
+			}
+		}
+	}
+	return servers
+}
+
+// Merge merges entries received from source. It returns the contents that changed.
+func (t *Table) Merge(entries []Entry, source string, now time.Time) []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []uint64
+	for i := range entries {
+		e := entries[i].sanitized(now.UnixMilli())
+		if len(e.Events) == 0 {
+			continue
+		}
+		r := t.ensureRecord(e.Content, now)
+		if r.merge(&e) {
+			r.update(source, relayedSends)
+			changed = append(changed, e.Content)
+		}
+	}
+	return changed
+}
+
+// sanitized returns the entry without events that are expired, in the future or of
+// an unknown kind.
+func (e *Entry) sanitized(nowMillis int64) Entry {
+	c := e.clone()
+	c.Events = slices.DeleteFunc(c.Events, func(ev Event) bool {
+		return ev.Kind < Disconnected || ev.Kind > Lifted || ev.AtMillis > nowMillis+millis(maxClockSkew) || nowMillis-ev.AtMillis > millis(Retention)
+	})
+	c.sort()
+	return c
+}
+
+// Outgoing returns at most limit entries for the next digest: those with news, and
+// from time to time one without.
+func (t *Table) Outgoing(limit int) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.periods++
+	var news []*record
+	for _, r := range t.records {
+		if r.sends > 0 {
+			news = append(news, r)
+		}
+	}
+	slices.SortFunc(news, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(b.sends, a.sends), cmp.Compare(a.Content, b.Content))
+	})
+	var out []Entry
+	for _, r := range news[:min(len(news), limit)] {
+		r.sends--
+		out = append(out, r.clone())
+	}
+	if len(out) < limit && t.periods%sweepOfferPeriods == 0 {
+		if r := t.nextOffer(); r != nil {
+			out = append(out, r.clone())
+		}
+	}
+	return out
+}
+
+// nextOffer returns the quarantined content that follows the last one returned, in
+// the order of their hashes, or nil if there is none.
+func (t *Table) nextOffer() *record {
+	var next, first *record
+	for _, r := range t.records {
+		if !r.isHeavy() {
+			continue
+		}
+		if first == nil || r.Content < first.Content {
+			first = r
+		}
+		if r.Content > t.offered && (next == nil || r.Content < next.Content) {
+			next = r
+		}
+	}
+	if next == nil {
+		next = first
+	}
+	if next != nil {
+		t.offered = next.Content
+	}
+	return next
+}
+
+// ResendAll makes the next digests carry all entries, for a peer that may have
+// missed some.
+func (t *Table) ResendAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		r.sends = max(r.sends, relayedSends)
+	}
+}
+
+// Unstored returns the entries that this VM has to write to the store: those with
+// own events that the store lacks, if the content is or was quarantined or isolated
+// is set. If forOthers is set, it also returns the quarantined contents that no VM
+// has stored relayDelay after the last event.
+func (t *Table) Unstored(isolated, forOthers bool, now time.Time) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for _, r := range t.records {
+		nowMillis := now.UnixMilli()
+		if r.isExpired(nowMillis) {
+			continue
+		}
+		overdue := forOthers && !r.Stored && nowMillis-r.lastAtMillis() > millis(relayDelay)
+		if r.unwritten && isolated || (r.unwritten || overdue) && r.isHeavy() {
+			out = append(out, r.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Content, b.Content) })
+	return out
+}
+
+// MarkStored records that the store holds the entries, as returned by Unstored.
+func (t *Table) MarkStored(entries []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range entries {
+		r := t.records[entries[i].Content]
+		if r == nil || r.Generation != entries[i].Generation || !slices.Equal(r.Events, entries[i].Events) {
+			continue
+		}
+		r.unwritten = false
+		if r.isHeavy() && !r.Stored {
+			r.Stored = true
+			r.sends = max(r.sends, relayedSends)
+		}
+	}
+}
+
+// Size returns the number of contents with losses, and of those that are
+// quarantined.
+func (t *Table) Size() (contents, quarantined int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		if r.weight >= relapseWeight && r.isQuarantined(true) {
+			quarantined++
+		}
+	}
+	return len(t.records), quarantined
+}
+
+// Sweep deletes expired entries.
+func (t *Table) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for content := range t.records {
+		t.record(content, now)
+	}
+}
+
+func (t *Table) addCredit(content uint64, change int, now time.Time) {
+	credit := min(max(t.creditOf(content, now)+change, minCredit), maxCredit)
+	if _, ok := t.credit[0][content]; !ok && len(t.credit[0]) >= maxRecent {
+		t.rotateCredit(now)
+	}
+	t.credit[0][content] = credit
+}
+
+func (t *Table) rotateCredit(now time.Time) {
+	t.credit = [2]map[uint64]int{{}, t.credit[0]}
+	t.creditStartedAt = now
+}
+
+func (t *Table) creditOf(content uint64, now time.Time) int {
+	if now.Sub(t.creditStartedAt) > recentPeriod {
+		if now.Sub(t.creditStartedAt) > 2*recentPeriod {
+			t.credit[0] = map[uint64]int{}
+		}
+		t.rotateCredit(now)
+	}
+	if c, ok := t.credit[0][content]; ok {
+		return c
+	}
+	return t.credit[1][content]
+}
+
+func (t *Table) rate(service string, now time.Time) *lossRate {
+	r := t.rates[service]
+	if r == nil {
+		r = &lossRate{}
+		t.rates[service] = r
+	}
+	if now.Sub(r.startedAt) > ratePeriod {
+		if now.Sub(r.startedAt) > 2*ratePeriod {
+			r.counts[0].answered, r.counts[0].lost = 0, nil
+		}
+		r.counts[1] = r.counts[0]
+		r.counts[0].answered, r.counts[0].lost = 0, map[uint64]bool{}
+		r.startedAt = now
+	}
+	return r
+}
+
+// othersAreLost reports whether the answers of a service's other contents are lost
+// too, so that the cause is not the content.
+func (t *Table) othersAreLost(service string, content uint64, now time.Time) bool {
+	r := t.rate(service, now)
+	answered, lost := 0, 0
+	for _, c := range r.counts {
+		answered += c.answered
+		lost += len(c.lost)
+		if c.lost[content] {
+			lost--
+		}
+	}
+	return answered+lost >= minRateSamples && float64(lost) > maxOthersLost*float64(answered+lost)
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -50,6 +50,9 @@
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	failed := answer.Status >= http.StatusInternalServerError
 	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
+	if !failed {
+		q.recordAnswer()
+	}
 	if failed {
 		q.failedAnswer = buffered
 		if q.mayRetry() && !q.headSent {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,7 +45,10 @@
 	// attempt was expected to prefill.
 	uncachedTokens float64
 	lastServer     string
-	trail          string
+	// isTrial is set if the request is a trial of a quarantined request content. It
+	// is sent to one server only.
+	isTrial bool
+	trail   string
 }
 
 // bufferedAnswer is a server's answer that has been read to its end.
@@ -150,6 +153,10 @@
 		q.finish(outcomeDeadline, "late")
 		return true
 	}
+	if q.isQuarantined(ctx) {
+		q.rejectQuarantined()
+		return true
+	}
 	q.choices++
 	if q.choices > maxChoices {
 		q.finish(outcomeNotSent, "no-server-took-it")
@@ -205,11 +212,14 @@
 
 // mayRetry reports whether a request that may have run may be sent again.
 func (q *request) mayRetry() bool {
-	return q.route.MayRepeat() && q.possibleRuns < q.route.MaxServers
+	return q.route.MayRepeat() && !q.isTrial && q.possibleRuns < q.route.MaxServers
 }
 
 func (q *request) serverQuery() *serverQuery {
 	query := &serverQuery{service: q.service, zone: q.node.settings.AvailabilityZone, exclude: q.tried}
+	if q.isTrial {
+		query.preferred = q.node.quarantiner.table.LostServers(q.content, q.node.quarantiner.now())
+	}
 	query.versions = q.node.moves.chooseVersion(q.service, q.versionRandom)
 	if !q.call.HasTokens {
 		return query
@@ -291,7 +301,7 @@
 // mayRetryAfterCurrent reports whether the request may be sent again if the
 // attempt in progress turns out to have run.
 func (q *request) mayRetryAfterCurrent() bool {
-	return q.route.MayRepeat() && q.possibleRuns+1 < q.route.MaxServers
+	return q.route.MayRepeat() && !q.isTrial && q.possibleRuns+1 < q.route.MaxServers
 }
 
 func (a *attempt) stopWatchdog() {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -182,6 +182,19 @@
 	return b.info.Leaving || !b.removedAt.IsZero()
 }
 
+// othersAt returns the IDs of the servers at an address other than the given one.
+func (t *backendTable) othersAt(address, id string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for other, b := range t.byID {
+		if other != id && b.info.Address == address {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
 // sweep deletes servers whose removal is longer ago than maxUseAfterRemoval, drops
 // expired cached parts and peer loads, and closes idle connections.
 func (t *backendTable) sweep(now time.Time) {
@@ -318,6 +331,9 @@
 	parts   []platform.Part
 	zone    string
 	exclude map[string]bool
+	// preferred holds the hashes of servers of which one is chosen if any of them is
+	// usable.
+	preferred map[uint32]bool
 	// versions restricts the servers to a software version while a version move is
 	// in progress.
 	versions versionFilter
@@ -332,6 +348,9 @@
 	if len(servers) == 0 {
 		return nil
 	}
+	if len(query.preferred) > 0 {
+		servers = preferredOf(servers, query.preferred)
+	}
 	candidates := make([]placement.Candidate, len(servers))
 	peerTotals := t.peerTotals(now)
 	memory := t.memoryTokens(query.service)
@@ -346,6 +365,20 @@
 	return t.reserve(servers[choice.Index], choice, query, now)
 }
 
+// preferredOf returns the servers whose hashes are preferred, all if there is none.
+func preferredOf(servers []*backend, preferred map[uint32]bool) []*backend {
+	var out []*backend
+	for _, b := range servers {
+		if preferred[b.shortHash] {
+			out = append(out, b)
+		}
+	}
+	if len(out) == 0 {
+		return servers
+	}
+	return out
+}
+
 // usable returns the servers that may be chosen. Full, removed and unreachable
 // servers are returned only if there are no others, in this order of preference.
 // The caller must hold the lock.
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -91,7 +91,7 @@
 	losses, running := c.waiting[b]
 	c.waiting[b] = append(losses, l)
 	if !running {
-		c.node.loops.Go(func() { c.check(b) })
+		go c.check(b)
 	}
 }
 
@@ -111,7 +111,7 @@
 	delete(c.waiting, b)
 	c.mu.Unlock()
 	for _, l := range losses {
-		n.handleLoss(b, l, state)
+		n.quarantiner.recordLoss(b, l, state)
 	}
 }
 
@@ -126,10 +126,3 @@
 	}
 	return serverUnknown
 }
-
-// handleLoss logs and counts a lost attempt with the state of its server.
-func (n *Node) handleLoss(b *backend, l loss, state serverState) {
-	n.log.Failure("content", "lost", "content", contentName(l.content), "id", l.requestID, "server", b.id, "outcome", l.outcome.String(),
-		"server-state", state.String(), "disconnected", l.disconnected)
-	n.metrics.contentLosses.WithLabelValues(b.service, state.String()).Inc()
-}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -280,6 +280,7 @@
 		d.AdmittedTotals = append(d.AdmittedTotals, gossip.AdmittedTotal{Workspace: shortHash(name), Total: total})
 	}
 	d.Moves = n.moves.ownReport()
+	d.Contents = n.quarantiner.table.Outgoing(maxDigestContents)
 	if m.sequence%digestsPerUsage == 0 || d.Draining {
 		m.addUsageAndWork(&d, now)
 	}
@@ -328,6 +329,7 @@
 		return
 	}
 	m.mu.Lock()
+	wasReachable := m.core.IsReachable(d.PeerAddress, d.Incarnation, now)
 	update, accepted := m.core.Receive(d, now)
 	holder := m.core.Holder()
 	m.mu.Unlock()
@@ -335,6 +337,12 @@
 		return
 	}
 	n.clock.update(d.VM, d.WallMillis, now)
+	if !wasReachable {
+		n.quarantiner.table.ResendAll()
+	}
+	if len(d.Contents) > 0 {
+		n.quarantiner.merge(d.Contents, d.VM)
+	}
 	n.duties.recordHolder(holder.HolderReport, now)
 	n.wakeFollowers(d)
 	if update.Key == "" {
@@ -403,6 +411,13 @@
 	return !m.core.IsReader(now) && m.core.HasStoreReader(now)
 }
 
+// isComplete reports whether this node receives the state of all VMs.
+func (m *members) isComplete() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.IsComplete(m.node.now())
+}
+
 // isReader reports whether this node is one of those that read the store for
 // others.
 func (m *members) isReader() bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,9 @@
 	attempts           *prometheus.CounterVec
 	platformCalls      *prometheus.CounterVec
 	contentLosses      *prometheus.CounterVec
+	contentRefusals    *prometheus.CounterVec
+	contentTrials      *prometheus.CounterVec
+	contents           *prometheus.GaugeVec
 	undecodableRecords *prometheus.CounterVec
 	healthVerdicts     *prometheus.CounterVec
 	duties             *prometheus.CounterVec
@@ -44,6 +47,11 @@
 		attempts:           counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
 		platformCalls:      counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
 		contentLosses:      counter("content_losses_total", "Attempts whose answer was lost, by service and state of the server afterwards.", "service", "server_state"),
+		contentRefusals:    counter("content_refusals_total", "Attempts refused because the request content is quarantined, by service.", "service"),
+		contentTrials:      counter("content_trials_total", "Trials of quarantined request contents, by outcome.", "outcome"),
+		contents: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_contents", Help: "Request contents with lost servers, tracked and quarantined.",
+		}, []string{"state"}),
 		undecodableRecords: counter("unreadable_total", "Undecodable records in the platform's store, by topic.", "topic"),
 		healthVerdicts:     counter("verdicts_total", "Changes of health verdicts by service and phase.", "service", "phase"),
 		duties:             counter("duties_total", "Calls made for singleton duties, by duty and outcome.", "duty", "outcome"),
@@ -55,7 +63,7 @@
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.platformCalls, m.contentLosses, m.undecodableRecords, m.healthVerdicts, m.duties,
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.undecodableRecords, m.healthVerdicts, m.duties,
 		m.openRequests, m.documentVersion, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -96,6 +96,7 @@
 	clock            *wallClock
 	work             *workMeter
 	serverChecks     *serverChecks
+	quarantiner      *quarantiner
 	moves            *versionMoves
 
 	openRequests atomic.Int64
@@ -152,6 +153,7 @@
 	n.peerPool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.serverChecks = newServerChecks(n)
+	n.quarantiner = newQuarantiner(n)
 	n.moves = newVersionMoves(n)
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
 	n.backends.members = n.members.count
@@ -210,6 +212,8 @@
 	n.loops.Go(func() { n.serverFollower.run(n.ctx) })
 	n.loops.Go(func() { n.members.run(n.ctx) })
 	n.loops.Go(func() { n.duties.run(n.ctx) })
+	n.loops.Go(func() { n.quarantiner.followStore(n.ctx) })
+	n.loops.Go(func() { n.quarantiner.writeStore(n.ctx) })
 	n.loops.Go(func() { n.sweep(n.ctx) })
 }
 
@@ -282,6 +286,14 @@
 		n.log.Event("servers", "entry", "server", id, "service", s.Service, "zone", s.AvailabilityZone, "address", s.Address,
 			"leaving", s.Leaving, "reclaimable", s.Reclaimable, "version", s.SoftwareVersion, "offset", offset)
 	}
+	if known && previous.StartedAtMillis != s.StartedAtMillis {
+		n.quarantiner.recordRestart(shortHash(id), id, s.StartedAtMillis)
+	}
+	if !known || previous.Address != s.Address {
+		for _, other := range n.backends.othersAt(s.Address, id) {
+			n.quarantiner.recordRestart(shortHash(other), other, s.StartedAtMillis)
+		}
+	}
 	n.metrics.backendServers.Set(float64(n.backends.count()))
 }
 
@@ -295,6 +307,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		n.backends.sweep(n.now())
+		n.quarantiner.sweep()
 		ordinary, failures := n.log.Dropped()
 		n.metrics.droppedLines.WithLabelValues("ordinary").Set(float64(ordinary))
 		n.metrics.droppedLines.WithLabelValues("failure").Set(float64(failures))
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,381 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
+	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
+	"coltsfootpath.example/coltsfootpath/platform"
+)
+
+const (
+	// contentsTopic holds the quarantined request contents, keyed by contentName.
+	contentsTopic = "keyed.coltsfoot.contents"
+	// contentsReadWait is the time for which the store holds a read of contentsTopic
+	// open. While this node lacks digests of some VMs, readWait replaces it.
+	contentsReadWait = 10 * time.Second
+	// contentsWriteInterval is the interval at which new quarantines are stored.
+	contentsWriteInterval = 200 * time.Millisecond
+	// maxContentsPerWrite bounds the records of one append.
+	maxContentsPerWrite = 256
+	// maxDigestContents bounds the request contents in a digest.
+	maxDigestContents = 8
+	// trialClaimTimeout bounds the calls to the store that a trial needs.
+	trialClaimTimeout = 500 * time.Millisecond
+	// contentsCleanupInterval is the interval at which the lease holder deletes
+	// expired records.
+	contentsCleanupInterval = 10 * time.Minute
+)
+
+// quarantiner applies the quarantine of request contents on one node, and keeps its
+// table in agreement with the store. Peers exchange the table's entries in digests.
+type quarantiner struct {
+	node  *Node
+	table *quarantine.Table
+
+	mu sync.Mutex
+	// end is the offset up to which contentsTopic was read. listed is set once all
+	// its keys were read.
+	end       uint64
+	listed    bool
+	cleanupAt time.Time
+	// claim is held while this node claims a trial.
+	claim sync.Mutex
+}
+
+func newQuarantiner(n *Node) *quarantiner {
+	return &quarantiner{node: n, table: quarantine.NewTable(), cleanupAt: n.now().Add(contentsCleanupInterval)}
+}
+
+// now returns the time of day that VMs agree on. Events of request contents are
+// compared between VMs.
+func (z *quarantiner) now() time.Time {
+	n := z.node
+	return time.UnixMilli(n.clock.unixMillis(n.now()))
+}
+
+// isQuarantined reports whether the request must not be sent. If a trial is due and
+// this is the request's first attempt, the request becomes the trial.
+func (q *request) isQuarantined(ctx context.Context) bool {
+	z := q.node.quarantiner
+	if q.isTrial {
+		return false
+	}
+	d := z.table.Check(q.content, q.service, z.now())
+	if !d.Refused {
+		return false
+	}
+	if d.TrialDue && q.possibleRuns == 0 && z.claimTrial(ctx, q) {
+		q.isTrial = true
+		return false
+	}
+	q.node.log.Failure("content", "refused", "content", contentName(q.content), "id", q.call.ID, "service", q.service, "ended", d.Ended, "disconnected", d.Disconnected,
+		"last-loss", z.now().Sub(time.UnixMilli(d.LastLossMillis)), "source", d.Source)
+	q.node.metrics.contentRefusals.WithLabelValues(q.service).Inc()
+	return true
+}
+
+// claimTrial records a trial in the store. At most one VM succeeds: the append is
+// conditional on the offset up to which this node has read.
+func (z *quarantiner) claimTrial(ctx context.Context, q *request) bool {
+	if !z.claim.TryLock() {
+		return false
+	}
+	defer z.claim.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+	defer cancel()
+	if !z.isListed() {
+		return false
+	}
+	end, err := z.read(ctx, 0)
+	if err == nil {
+		if !z.table.Check(q.content, q.service, z.now()).TrialDue {
+			return false
+		}
+		entry := z.table.TrialEntry(q.content, z.now())
+		if _, err = z.node.platform.AppendAt(ctx, contentsTopic, encodeContent(&entry), end); err == nil {
+			z.table.Merge([]quarantine.Entry{entry}, quarantine.SourceSelf, z.now())
+			z.table.MarkStored([]quarantine.Entry{entry})
+			z.node.log.Event("content", "trial", "content", contentName(q.content), "id", q.call.ID, "service", q.service, "offset", end)
+			z.node.metrics.contentTrials.WithLabelValues("started").Inc()
+			return true
+		}
+	}
+	z.node.log.Failure("content", "trial-not-recorded", "content", contentName(q.content), "id", q.call.ID, "error", err)
+	return false
+}
+
+// recordAnswer records that a server answered the request completely.
+func (q *request) recordAnswer() {
+	z := q.node.quarantiner
+	z.table.RecordAnswer(q.content, q.service, z.now())
+	if !q.isTrial {
+		return
+	}
+	lifted := z.table.RecordTrialPassed(q.content, z.now())
+	q.node.log.Event("content", "trial-passed", "content", contentName(q.content), "id", q.call.ID, "server", q.lastServer, "lifted", lifted)
+	q.node.metrics.contentTrials.WithLabelValues("passed").Inc()
+}
+
+// rejectQuarantined ends a request whose content is quarantined. Earlier runs of the
+// content are known, so the answer does not state that it did not run.
+func (q *request) rejectQuarantined() {
+	if q.headSent {
+		q.finish(outcomeLost, reasonQuarantined)
+		return
+	}
+	q.reject(rejection{status: http.StatusBadGateway, reason: reasonQuarantined})
+}
+
+const reasonQuarantined = "ends-servers"
+
+// recordLoss counts a lost attempt against its request content if the server's state
+// shows that it ended, or at least that it closed the connection.
+func (z *quarantiner) recordLoss(b *backend, l loss, state serverState) {
+	n, now := z.node, z.now()
+	at := now.Add(-n.now().Sub(l.at))
+	counted := "no"
+	switch {
+	case state == serverEnded:
+		z.table.RecordLoss(l.content, b.service, b.shortHash, quarantine.Ended, at, now)
+		counted = quarantine.Ended.String()
+	case state == serverListening && l.disconnected:
+		z.table.RecordLoss(l.content, b.service, b.shortHash, quarantine.Disconnected, at, now)
+		counted = quarantine.Disconnected.String()
+	case state == serverUnknown:
+		z.table.RecordUnresolved(l.content, b.shortHash, at)
+		counted = "unresolved"
+	}
+	d := z.table.Check(l.content, b.service, now)
+	n.log.Failure("content", "lost", "content", contentName(l.content), "id", l.requestID, "server", b.id, "outcome", l.outcome.String(),
+		"server-state", state.String(), "counted", counted, "ended", d.Ended, "disconnected", d.Disconnected, "quarantined", d.Refused)
+	n.metrics.contentLosses.WithLabelValues(b.service, state.String()).Inc()
+}
+
+// recordRestart records that a process of a server started.
+func (z *quarantiner) recordRestart(serverHash uint32, id string, startedMillis int64) {
+	if startedMillis <= 0 {
+		return
+	}
+	for _, content := range z.table.RecordRestart(serverHash, time.UnixMilli(startedMillis), z.now()) {
+		d := z.table.Check(content, "", z.now())
+		z.node.log.Failure("content", "server-ended", "content", contentName(content), "server", id, "ended", d.Ended, "disconnected", d.Disconnected, "quarantined", d.Refused)
+	}
+}
+
+// merge applies entries received from a peer or the store.
+func (z *quarantiner) merge(entries []quarantine.Entry, source string) {
+	for _, content := range z.table.Merge(entries, source, z.now()) {
+		if d := z.table.Check(content, "", z.now()); d.Refused {
+			z.node.log.Event("content", "quarantined", "content", contentName(content), "ended", d.Ended, "disconnected", d.Disconnected, "source", source)
+		}
+	}
+}
+
+func encodeContent(e *quarantine.Entry) []byte {
+	return platform.EncodeKeyed(contentName(e.Content), digest.MarshalContent(e))
+}
+
+// followStore reads contentsTopic until ctx ends. In a complete deployment only the
+// nodes that read the store for others do, as news spreads by digests too.
+func (z *quarantiner) followStore(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		complete := z.node.members.isComplete()
+		if z.isListed() && complete && z.node.members.mayRelyOnReaders() {
+			sleep(ctx, idleCheckInterval)
+			continue
+		}
+		wait := contentsReadWait
+		if !complete {
+			wait = readWait
+		}
+		err := z.readNews(ctx, wait)
+		switch {
+		case err == nil:
+			failures = 0
+		case errors.Is(err, platform.ErrTrimmed):
+			z.setListed(false)
+		default:
+			if failures++; failures == 1 {
+				z.node.log.Failure("store", "lost", "topic", contentsTopic, "error", err)
+			}
+			sleep(ctx, min(storeBackoff<<min(failures, 4), maxStoreBackoff))
+		}
+	}
+}
+
+// readNews lists all keys if that has not succeeded yet, and otherwise waits for new
+// records.
+func (z *quarantiner) readNews(ctx context.Context, wait time.Duration) error {
+	if z.isListed() {
+		ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+		defer cancel()
+		_, err := z.read(ctx, wait)
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	items, end, err := z.node.platform.ListNewest(ctx, contentsTopic)
+	if err != nil {
+		return err
+	}
+	var entries []quarantine.Entry
+	for _, it := range items {
+		entries = z.appendDecoded(entries, it.Key, it.Value, it.Offset)
+	}
+	z.merge(entries, "store")
+	z.advance(end)
+	z.setListed(true)
+	return nil
+}
+
+// read reads the records after the last one read, and returns the offset after them.
+func (z *quarantiner) read(ctx context.Context, wait time.Duration) (end uint64, err error) {
+	z.mu.Lock()
+	from := z.end
+	z.mu.Unlock()
+	batch, err := z.node.platform.Read(ctx, contentsTopic, from, wait)
+	if err != nil {
+		return 0, err
+	}
+	var entries []quarantine.Entry
+	for i, record := range batch.Records {
+		key, value, err := platform.DecodeKeyed(record)
+		if err != nil {
+			z.logUnreadable(batch.FirstOffset+uint64(i), err)
+			continue
+		}
+		entries = z.appendDecoded(entries, key, value, batch.FirstOffset+uint64(i))
+	}
+	z.merge(entries, "store")
+	end = batch.FirstOffset + uint64(len(batch.Records))
+	z.advance(end)
+	return end, nil
+}
+
+// appendDecoded appends a record's entry, unless the record deletes its key or can't
+// be read.
+func (z *quarantiner) appendDecoded(entries []quarantine.Entry, key string, value []byte, offset uint64) []quarantine.Entry {
+	if len(value) == 0 {
+		return entries
+	}
+	e, err := digest.UnmarshalContent(value)
+	if err == nil && contentName(e.Content) != key {
+		err = errors.Newf("record of key %q holds content %s", key, contentName(e.Content))
+	}
+	if err != nil {
+		z.logUnreadable(offset, err)
+		return entries
+	}
+	e.Stored = true
+	return append(entries, e)
+}
+
+func (z *quarantiner) logUnreadable(offset uint64, err error) {
+	z.node.log.Failure("store", "unreadable-record", "topic", contentsTopic, "offset", offset, "error", err)
+	z.node.metrics.undecodableRecords.WithLabelValues(contentsTopic).Inc()
+}
+
+func (z *quarantiner) advance(end uint64) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.end = max(z.end, end)
+}
+
+func (z *quarantiner) isListed() bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.listed
+}
+
+func (z *quarantiner) setListed(listed bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.listed = listed
+}
+
+// writeStore stores new quarantines until ctx ends.
+func (z *quarantiner) writeStore(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		err := z.writeUnstored(ctx)
+		z.cleanUp(ctx)
+		if err == nil {
+			failures = 0
+			sleep(ctx, contentsWriteInterval)
+			continue
+		}
+		if failures++; failures == 1 {
+			z.node.log.Failure("content", "not-stored", "error", err)
+		}
+		sleep(ctx, min(storeBackoff<<min(failures, 4), maxStoreBackoff))
+	}
+}
+
+func (z *quarantiner) writeUnstored(ctx context.Context) error {
+	_, _, holdsLease := z.node.duties.leaseState(z.node.now())
+	entries := z.table.Unstored(!z.node.members.isComplete(), holdsLease, z.now())
+	if len(entries) == 0 {
+		return nil
+	}
+	entries = entries[:min(len(entries), maxContentsPerWrite)]
+	records := make([][]byte, len(entries))
+	for i := range entries {
+		records[i] = encodeContent(&entries[i])
+	}
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	offset, err := z.node.platform.AppendAll(ctx, contentsTopic, records)
+	if err != nil {
+		return err
+	}
+	z.table.MarkStored(entries)
+	z.node.log.Event("content", "stored", "contents", len(entries), "first", contentName(entries[0].Content), "offset", offset)
+	return nil
+}
+
+// cleanUp deletes expired records from the store, from time to time, if this node
+// holds the lease.
+func (z *quarantiner) cleanUp(ctx context.Context) {
+	now := z.node.now()
+	if now.Before(z.cleanupAt) {
+		return
+	}
+	z.cleanupAt = now.Add(contentsCleanupInterval)
+	if _, _, holdsLease := z.node.duties.leaseState(now); !holdsLease {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	items, _, err := z.node.platform.ListNewest(ctx, contentsTopic)
+	var records [][]byte
+	for _, it := range items {
+		e, decodeErr := digest.UnmarshalContent(it.Value)
+		if decodeErr != nil || e.IsExpired(z.now()) {
+			records = append(records, platform.EncodeKeyed(it.Key, nil))
+		}
+	}
+	if err == nil && len(records) > 0 {
+		_, err = z.node.platform.AppendAll(ctx, contentsTopic, records[:min(len(records), maxContentsPerWrite)])
+	}
+	if err != nil {
+		z.node.log.Failure("content", "not-cleaned-up", "error", err)
+		return
+	}
+	z.node.log.Event("content", "cleaned-up", "deleted", strconv.Itoa(len(records)))
+}
+
+// sweep removes expired entries and updates the gauges.
+func (z *quarantiner) sweep() {
+	z.table.Sweep(z.now())
+	contents, quarantined := z.table.Size()
+	z.node.metrics.contents.WithLabelValues("tracked").Set(float64(contents))
+	z.node.metrics.contents.WithLabelValues("quarantined").Set(float64(quarantined))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -143,6 +143,7 @@
 	if empty && !answer.Delimited() {
 		return a.handleLost(errors.New("stream ended without a length or an event"))
 	}
+	q.recordAnswer()
 	if !q.headSent {
 		q.sendHead(answer)
 	}
--- /dev/null
+++ b/internal/protocol/digest/content.go
@@ -0,0 +1,78 @@
+package digest
+
+import (
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
+)
+
+// Field numbers of a request content and of its events.
+const (
+	fieldContentHash = iota + 1
+	fieldContentGeneration
+	fieldContentStored
+	fieldContentEvent
+
+	fieldEventKind   = 1
+	fieldEventServer = 2
+	fieldEventMillis = 3
+)
+
+// maxContentEvents bounds the events of one request content in a message.
+const maxContentEvents = 64
+
+// MarshalContent encodes the state of a request content, for digests and for the
+// store.
+func MarshalContent(e *quarantine.Entry) []byte {
+	b := appendVarint(nil, fieldContentHash, e.Content)
+	b = appendVarint(b, fieldContentGeneration, uint64(e.Generation))
+	if e.Stored {
+		b = appendVarint(b, fieldContentStored, 1)
+	}
+	var inner []byte
+	for _, ev := range e.Events {
+		inner = appendVarint(inner[:0], fieldEventKind, uint64(ev.Kind))
+		inner = appendVarint(inner, fieldEventServer, uint64(ev.Server))
+		b = appendMessage(b, fieldContentEvent, appendVarint(inner, fieldEventMillis, uint64(ev.AtMillis)))
+	}
+	return b
+}
+
+// UnmarshalContent decodes the state of a request content.
+func UnmarshalContent(b []byte) (quarantine.Entry, error) {
+	var e quarantine.Entry
+	var nestedErr error
+	err := forEachField(b, func(num protowire.Number, v uint64, bytes []byte) {
+		switch num {
+		case fieldContentHash:
+			e.Content = v
+		case fieldContentGeneration:
+			e.Generation = uint32(clamp(v))
+		case fieldContentStored:
+			e.Stored = v != 0
+		case fieldContentEvent:
+			ev, err := unmarshalEvent(bytes)
+			nestedErr = errors.CombineErrors(nestedErr, err)
+			if len(e.Events) < maxContentEvents {
+				e.Events = append(e.Events, ev)
+			}
+		}
+	})
+	return e, errors.CombineErrors(err, nestedErr)
+}
+
+func unmarshalEvent(b []byte) (quarantine.Event, error) {
+	var ev quarantine.Event
+	err := forEachField(b, func(num protowire.Number, v uint64, _ []byte) {
+		switch num {
+		case fieldEventKind:
+			ev.Kind = quarantine.Kind(min(v, 255))
+		case fieldEventServer:
+			ev.Server = uint32(v)
+		case fieldEventMillis:
+			ev.AtMillis = int64(v)
+		}
+	})
+	return ev, err
+}
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -37,6 +37,7 @@
 	fieldMember
 	fieldMove
 	fieldHolderEnd
+	fieldContent
 )
 
 const (
@@ -116,6 +117,9 @@
 		inner = appendVarint(inner, 6, m.OldAnswers)
 		b = appendMessage(b, fieldMove, appendVarint(inner, 7, m.OldFailures))
 	}
+	for i := range d.Contents {
+		b = appendMessage(b, fieldContent, MarshalContent(&d.Contents[i]))
+	}
 	for i := range d.Members {
 		b = appendMessage(b, fieldMember, appendMember(inner[:0], &d.Members[i], false))
 	}
@@ -249,6 +253,13 @@
 		d.Members = append(d.Members, m)
 		return err
 	}
+	if num == fieldContent {
+		e, err := UnmarshalContent(bytes)
+		if err == nil {
+			d.Contents = append(d.Contents, e)
+		}
+		return err
+	}
 	var v [8]uint64
 	var s string
 	err := forEachField(bytes, func(n protowire.Number, x uint64, text []byte) {
