quarantine: VMs vouch for contents that servers answer

Callers saw 502 for innocent requests: a content that runs on all servers all the time loses every server that ends for another reason. The credit of its answers protected it only on VMs that had served it; a VM that had just restarted knew its losses from peers, and refused it.

A VM that answers a content with losses now vouches for it in the shared entry, which protects it on all VMs for 10 s.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -59,7 +59,10 @@
 	Generation uint32
 	// Stored is true if the store holds a quarantine of this generation.
 	Stored bool
-	Events []Event
+	// VouchedMillis is the Unix time in milliseconds at which a VM last vouched for
+	// the content, because servers answer it there. 0 means never.
+	VouchedMillis int64
+	Events        []Event
 }
 
 const (
@@ -155,11 +158,12 @@
 		return false
 	}
 	if other.Generation > e.Generation {
-		*e = Entry{Content: e.Content, Generation: other.Generation, Stored: other.Stored, Events: slices.Clone(other.Events)}
+		*e = other.clone()
 		return true
 	}
-	changed := other.Stored && !e.Stored
+	changed := other.Stored && !e.Stored || other.VouchedMillis > e.VouchedMillis
 	e.Stored = e.Stored || other.Stored
+	e.VouchedMillis = max(e.VouchedMillis, other.VouchedMillis)
 	for _, ev := range other.Events {
 		changed = e.add(ev) || changed
 	}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -223,6 +223,26 @@
 	}
 }
 
+// TestRestartedVMServesPopularContent: a VM that has just started knows the losses of
+// a popular content from its peers, but not its answers.
+func TestRestartedVMServesPopularContent(t *testing.T) {
+	table, now := NewTable(), start
+	for server := range uint32(4) {
+		now = now.Add(3 * time.Second)
+		for range 10 {
+			table.RecordAnswer(innocent, service, now)
+		}
+		table.RecordLoss(innocent, service, server, Ended, now, now)
+	}
+	table.RecordAnswer(innocent, service, now)
+	restarted := NewTable()
+	table.ResendAll()
+	restarted.Merge(table.Outgoing(8), "vm-1", now.Add(time.Second))
+	if d := restarted.Check(innocent, service, now.Add(time.Second)); d.Refused || d.Ended != 4 {
+		t.Fatalf("%+v", d)
+	}
+}
+
 // TestFormerlyPopularContentIsQuarantined: a content that starts to end servers, as
 // after a change of their software, is refused although it was served before.
 func TestFormerlyPopularContentIsQuarantined(t *testing.T) {
--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -19,10 +19,15 @@
 	recentPeriod = 15 * time.Second
 	// innocentCredit is the credit from which a content is not quarantined on this
 	// VM. Each answer adds 1, up to maxCredit, and each loss subtracts lossCost.
+	// Such a VM vouches for the content.
 	innocentCredit = 8
 	maxCredit      = 32
 	minCredit      = -12
 	lossCost       = 3
+	// vouchPeriod is the time for which a content is not quarantined on any VM after a
+	// VM vouched for it, vouchInterval the interval at which that VM repeats it.
+	vouchPeriod   = 10 * time.Second
+	vouchInterval = 2 * time.Second
 	// ratePeriod is half of the time over which the losses of a service's other
 	// contents are counted.
 	ratePeriod = 5 * time.Second
@@ -118,7 +123,8 @@
 	}
 	c := r.losses()
 	d := Decision{Ended: c.ended, Disconnected: c.disconnected, LastLossMillis: r.lastAtMillis(Ended, Disconnected), Source: r.source}
-	d.Refused = r.isQuarantined(!t.othersAreLost(service, content, now)) && t.creditOf(content, now) < innocentCredit
+	d.Refused = r.isQuarantined(!t.othersAreLost(service, content, now)) && t.creditOf(content, now) < innocentCredit &&
+		now.UnixMilli()-r.VouchedMillis > millis(vouchPeriod)
 	if d.Refused {
 		at, ok := r.nextTrialMillis()
 		d.TrialDue = ok && now.UnixMilli() >= at
@@ -194,6 +200,18 @@
 	defer t.mu.Unlock()
 	t.addCredit(content, 1, now)
 	t.rate(service, now).counts[0].answered++
+	if r := t.record(content, now); r != nil {
+		t.vouch(r, now)
+	}
+}
+
+// vouch vouches for a content with enough credit, at most once in vouchInterval.
+func (t *Table) vouch(r *record, now time.Time) {
+	if t.creditOf(r.Content, now) < innocentCredit || now.UnixMilli()-r.VouchedMillis < millis(vouchInterval) {
+		return
+	}
+	r.VouchedMillis = now.UnixMilli()
+	r.sends = max(r.sends, relayedSends)
 }
 
 // RecordLoss records that a server ended (kind Ended) or disconnected (kind
@@ -320,6 +338,7 @@
 		r := t.ensureRecord(e.Content, now)
 		if r.merge(&e) {
 			r.update(source, relayedSends)
+			t.vouch(r, now)
 			changed = append(changed, e.Content)
 		}
 	}
@@ -330,6 +349,7 @@
 // an unknown kind.
 func (e *Entry) sanitized(nowMillis int64) Entry {
 	c := e.clone()
+	c.VouchedMillis = min(c.VouchedMillis, nowMillis)
 	c.Events = slices.DeleteFunc(c.Events, func(ev Event) bool {
 		return ev.Kind < Disconnected || ev.Kind > Lifted || ev.AtMillis > nowMillis+millis(maxClockSkew) || nowMillis-ev.AtMillis > millis(Retention)
 	})
--- a/internal/protocol/digest/content.go
+++ b/internal/protocol/digest/content.go
@@ -13,6 +13,7 @@
 	fieldContentGeneration
 	fieldContentStored
 	fieldContentEvent
+	fieldContentVouched
 
 	fieldEventKind   = 1
 	fieldEventServer = 2
@@ -30,6 +31,7 @@
 	if e.Stored {
 		b = appendVarint(b, fieldContentStored, 1)
 	}
+	b = appendVarint(b, fieldContentVouched, uint64(e.VouchedMillis))
 	var inner []byte
 	for _, ev := range e.Events {
 		inner = appendVarint(inner[:0], fieldEventKind, uint64(ev.Kind))
@@ -51,6 +53,8 @@
 			e.Generation = uint32(clamp(v))
 		case fieldContentStored:
 			e.Stored = v != 0
+		case fieldContentVouched:
+			e.VouchedMillis = int64(v)
 		case fieldContentEvent:
 			ev, err := unmarshalEvent(bytes)
 			nestedErr = errors.CombineErrors(nestedErr, err)
--- a/internal/protocol/digest/digest_test.go
+++ b/internal/protocol/digest/digest_test.go
@@ -18,7 +18,7 @@
 		Work:           []gossip.Work{{Service: 1, Millis: 77}},
 		Usage:          []gossip.Usage{{Window: 358000000, Workspace: "w", Count: 12}},
 		Moves:          []gossip.Move{{Service: 1, Order: 4, Phase: 2, NewAnswers: 5, NewFailures: 1, OldAnswers: 50, OldFailures: 2}},
-		Contents: []quarantine.Entry{{Content: 1 << 63, Generation: 2, Stored: true, Events: []quarantine.Event{
+		Contents: []quarantine.Entry{{Content: 1 << 63, Generation: 2, Stored: true, VouchedMillis: 1_790_000_000_003, Events: []quarantine.Event{
 			{Kind: quarantine.Ended, Server: 9, AtMillis: 1_790_000_000_001}, {Kind: quarantine.TrialStarted, AtMillis: 1_790_000_000_002}}}},
 	}
 	d.VM, d.Incarnation, d.AvailabilityZone, d.CallerAddress, d.PeerAddress, d.LinkMbps = "vm-1", 99, "zone-a", "10.0.0.1:80", "10.0.0.1:7600", 1000
