faultlab: a crashing request, and kills of all processes at once

One caller sends a request that ends every server which runs it, under new ids, to all processes; ended servers refuse connections for 1 s and register anew. The report counts innocent requests that were refused as crashing, from the logs.

--- a/internal/faultlab/faultlab.go
+++ b/internal/faultlab/faultlab.go
@@ -45,7 +45,9 @@
 const (
 	defaultRoundDuration = 20 * time.Second
 	serverCount          = 5
-	callersPerNode       = 2
+	// serverRestartTime is the time for which a crashed backend server is down.
+	serverRestartTime = time.Second
+	callersPerNode    = 2
 	// stopTimeout limits the time from a signal to a process's exit: the 4 s of
 	// its grace setting and a margin for a busy machine.
 	stopTimeout = 20 * time.Second
@@ -119,6 +121,9 @@
 			})
 		}
 	}
+	load.Go(func() {
+		c.sendCrashingRequests(ctx, rand.New(rand.NewPCG(seed, 99)), fmt.Sprintf("%d-crash", seed))
+	})
 	c.injectFaults(ctx, o.RoundDuration)
 	c.clearFaults()
 	ready := c.awaitReady(readyTimeout)
@@ -173,11 +178,30 @@
 	if err != nil {
 		return errors.Wrap(err, "start the proxy of a backend server")
 	}
+	s.RestartAfter = serverRestartTime
+	s.OnCrash = p.refuse
+	s.OnRestart = func() {
+		if err := p.listenAgain(); err != nil {
+			c.recordError(errors.Wrapf(err, "restart server %s", id))
+		}
+		c.register(id, s.RegistrationAt(p.address(), "s", "zone-0", "ready"))
+	}
 	c.servers, c.proxies = append(c.servers, s), append(c.proxies, p)
 	c.store.Put(platform.ServersTopic, id, s.RegistrationAt(p.address(), "s", "zone-0", "ready"))
 	return nil
 }
 
+// register writes a backend server's registration, again and again until the store
+// has accepted it or the round is over.
+func (c *cluster) register(id string, registration []byte) {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if c.store.TryPut(platform.ServersTopic, id, registration) == nil {
+			return
+		}
+	}
+	c.recordError(errors.Newf("server %s could not register", id))
+}
+
 // serverFaults returns a function that selects the Behavior of a backend server for its
 // n-th request: about 1 in 20 requests gets a faulty one.
 func (c *cluster) serverFaults(id string) func(int, platformtest.Run) platformtest.Behavior {
@@ -185,6 +209,9 @@
 		platformtest.ServerError, platformtest.RejectNotRun, platformtest.ResetBeforeAnswer, platformtest.TruncateAnswer, platformtest.OmitSeal, platformtest.DuplicateAnswer, platformtest.OmitLength,
 	}
 	return func(n int, r platformtest.Run) platformtest.Behavior {
+		if r.Body == crashingBody {
+			return platformtest.Crash
+		}
 		random := rand.New(rand.NewPCG(uint64(n), uint64(len(id)+len(r.ID))))
 		if random.IntN(20) > 0 {
 			return platformtest.CompleteAnswer
@@ -231,8 +258,15 @@
 	n := c.nodes[c.random.IntN(len(c.nodes))]
 	i := c.random.IntN(len(c.proxies))
 	fault := Fault(1 + c.random.IntN(int(faultCount)-1))
-	kind := c.random.IntN(8)
+	kind := c.random.IntN(9)
 	return func() {
+		affected := n.name
+		if kind >= 6 {
+			affected = ""
+		}
+		if kind < 4 || kind >= 6 {
+			defer c.recorder.addFault(affected)()
+		}
 		switch kind {
 		case 0:
 			c.logEvent("kill %s", n.name)
@@ -269,6 +303,15 @@
 			c.store.SetFaults(logservice.Faults{Outage: true})
 			time.Sleep(duration)
 			c.store.SetFaults(logservice.Faults{})
+		case 8:
+			c.logEvent("kill all")
+			var killed sync.WaitGroup
+			for _, n := range c.nodes {
+				killed.Go(func() {
+					n.restart(func() { n.stop(syscall.SIGKILL, stopTimeout) }, duration/4, c.recordError)
+				})
+			}
+			killed.Wait()
 		}
 	}
 }
--- a/internal/faultlab/proxy.go
+++ b/internal/faultlab/proxy.go
@@ -35,12 +35,13 @@
 // proxy forwards TCP connections to one address, with a fault that can be
 // changed at any time. Bytes that a fault has dropped are never delivered.
 type proxy struct {
-	listener net.Listener
-	target   string
-	fault    atomic.Int32
+	listenAddress string
+	target        string
+	fault         atomic.Int32
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -48,12 +49,31 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
-	go p.acceptLoop()
+	p := &proxy{listenAddress: l.Addr().String(), listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.acceptLoop(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
+
+// refuse refuses new connections until listenAgain.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+func (p *proxy) listenAgain() error {
+	l, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.acceptLoop(l)
+	return nil
+}
 
 func (p *proxy) setFault(f Fault) {
 	p.fault.Store(int32(f))
@@ -71,13 +91,13 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.refuse()
 	p.closeAll()
 }
 
-func (p *proxy) acceptLoop() {
+func (p *proxy) acceptLoop(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/faultlab/verify.go
+++ b/internal/faultlab/verify.go
@@ -19,6 +19,9 @@
 	exchanges      map[string]exchange
 	violationTexts []string
 	eventLines     []string
+	faults         []nodeFault
+	// crashing holds the nodes to which crashing requests were sent, by id.
+	crashing map[string]string
 }
 
 // exchange is a caller's request with its result.
@@ -27,7 +30,9 @@
 	result  platformtest.Answer
 }
 
-func newRecorder() *recorder { return &recorder{exchanges: map[string]exchange{}} }
+func newRecorder() *recorder {
+	return &recorder{exchanges: map[string]exchange{}, crashing: map[string]string{}}
+}
 
 func (r *recorder) add(request platformtest.Request, result platformtest.Answer) {
 	r.mu.Lock()
@@ -86,12 +91,13 @@
 // report holds the counts and the violations of one round.
 type report struct {
 	requests, served, failed, rejected, interrupted int
+	crashingRuns, quarantinedInnocents              int
 	violations                                      []string
 }
 
 // String returns the report's counts in one line.
 func (r *report) String() string {
-	return fmt.Sprintf("asked=%d served=%d failed=%d refused=%d cut=%d broken=%d", r.requests, r.served, r.failed, r.rejected, r.interrupted, len(r.violations))
+	return fmt.Sprintf("asked=%d served=%d failed=%d refused=%d cut=%d crashing-runs=%d quarantined-innocents=%d broken=%d", r.requests, r.served, r.failed, r.rejected, r.interrupted, r.crashingRuns, r.quarantinedInnocents, len(r.violations))
 }
 
 // verify compares the callers' results with the backend servers' runs. It also
@@ -104,6 +110,7 @@
 		c.verifyDocument()
 	}
 	c.verifyUsage()
+	c.verifyCrashingRequests()
 	runs := map[string][]platformtest.Run{}
 	for _, s := range c.servers {
 		for _, r := range s.Runs() {
@@ -118,6 +125,8 @@
 		rep.count(e.result)
 		c.verifyRequest(e, runs[id])
 	}
+	rep.crashingRuns = len(c.crashingRuns())
+	rep.quarantinedInnocents = c.quarantinedInnocents()
 	for id, list := range runs {
 		if _, ok := all[id]; !ok {
 			c.recorder.addViolation("request %q ran but no caller sent it: %+v", id, list[0])
