--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -285,6 +285,21 @@
 
 // Lift returns the entry that ends a quarantine. Events before it no longer count,
 // and the next loss quarantines the content again.
-func (e *Entry) Lift(nowMillis int64) Entry {
-	return Entry{Content: e.Content, Generation: e.Generation + 1, Events: []Event{{Kind: Lifted, AtMillis: nowMillis}}}
+func (e *Entry) Lift(now time.Time) Entry {
+	return Entry{Content: e.Content, Generation: e.Generation + 1, Events: []Event{{Kind: Lifted, AtMillis: now.UnixMilli()}}}
+}
+
+// Status summarises an entry.
+type Status struct {
+	Ended, Disconnected int
+	// Quarantined states whether the losses suffice for a quarantine, disconnections
+	// included.
+	Quarantined    bool
+	LastLossMillis int64
+}
+
+// Status returns the entry's status.
+func (e *Entry) Status() Status {
+	c := e.losses()
+	return Status{Ended: c.ended, Disconnected: c.disconnected, Quarantined: e.isQuarantined(true), LastLossMillis: e.lastAtMillis(Ended, Disconnected)}
 }
--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -59,11 +59,9 @@
 	// TrialDue is true if a refused content may be sent to one server, once the trial
 	// is recorded in the store.
 	TrialDue bool
-	// Ended and Disconnected count the losses, and LastLossMillis is the time of the
-	// last one. Source names the origin of the last news.
-	Ended, Disconnected int
-	LastLossMillis      int64
-	Source              string
+	// Status is that of the content's entry, and Source the origin of its last news.
+	Status
+	Source string
 }
 
 type record struct {
@@ -121,8 +119,7 @@
 	if r == nil {
 		return Decision{}
 	}
-	c := r.losses()
-	d := Decision{Ended: c.ended, Disconnected: c.disconnected, LastLossMillis: r.lastAtMillis(Ended, Disconnected), Source: r.source}
+	d := Decision{Status: r.Status(), Source: r.source}
 	d.Refused = r.isQuarantined(!t.othersAreLost(service, content, now)) && t.creditOf(content, now) < innocentCredit &&
 		now.UnixMilli()-r.VouchedMillis > millis(vouchPeriod)
 	if d.Refused {
@@ -304,7 +301,7 @@
 	if r.trials().passedInRow < trialPasses {
 		return false
 	}
-	r.Entry = r.Lift(now.UnixMilli())
+	r.Entry = r.Lift(now)
 	r.update(SourceSelf, urgentSends)
 	return true
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,5 +1,6 @@
 // Package ctl implements coltsfootctl, the operators' command-line tool. It calls
-// the admin API of a coordinator. Documents and settings files are checked locally,
+// the admin API of a coordinator; the content commands call the store of an
+// operator's platform. Documents and settings files are checked locally,
 // with the code that the servers use.
 package ctl
 
@@ -62,7 +63,7 @@
 	flags.StringVar(&o.tokenFile, "token-file", "", "file with the admin token")
 	flags.StringVarP(&o.output, "output", "o", outputTable, "table or json")
 	flags.DurationVar(&o.timeout, "timeout", 15*time.Second, "timeout of calls to the coordinator")
-	cmd.AddCommand(documentCommand(o), moveCommand(o), nodeCommand(o), reportCommand(o), settingsCommand(o), statusCommand(o), explainCommand())
+	cmd.AddCommand(documentCommand(o), moveCommand(o), nodeCommand(o), reportCommand(o), settingsCommand(o), statusCommand(o), contentCommand(o), explainCommand())
 	return cmd
 }
 
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -59,19 +59,24 @@
 var (
 	serverPattern = regexp.MustCompile(`\bserver=(\S+)`)
 	trailPattern  = regexp.MustCompile(`\btrail=(\S+)`)
+	// contentPattern matches the request content in a line of the content part.
+	contentPattern = regexp.MustCompile(`^\S+ content .*\bcontent=(\w+)`)
 )
 
-// explain writes the lines about a request together with the lines about the
-// state of its servers and of the store, sorted by time. It returns false if no
+// explain writes the lines about a request together with those about its content,
+// under any id, and about the state of its servers and of the store, sorted by time. It returns false if no
 // line mentions the request.
 func explain(id string, lines []string, out io.Writer) bool {
 	var requestLines []string
-	servers := map[string]bool{}
+	servers, contents := map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if !strings.Contains(l, " id="+id+" ") && !strings.HasSuffix(l, " id="+id) {
 			continue
 		}
 		requestLines = append(requestLines, l)
+		if m := contentPattern.FindStringSubmatch(l); m != nil {
+			contents[m[1]] = true
+		}
 		for _, m := range serverPattern.FindAllStringSubmatch(l, -1) {
 			servers[m[1]] = true
 		}
@@ -86,7 +91,13 @@
 		return false
 	}
 	slices.Sort(requestLines)
-	all := append(requestLines, contextLines(lines, servers, requestLines[0], requestLines[len(requestLines)-1])...)
+	first, last := requestLines[0], requestLines[len(requestLines)-1]
+	for _, l := range lines {
+		if m := contentPattern.FindStringSubmatch(l); m != nil && contents[m[1]] {
+			requestLines = append(requestLines, l)
+		}
+	}
+	all := append(requestLines, contextLines(lines, servers, first, last)...)
 	slices.Sort(all)
 	for _, l := range slices.Compact(all) {
 		fmt.Fprintln(out, l)
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -29,6 +29,15 @@
 			t.Errorf("line %d is %q, want %q", i, got[i], w)
 		}
 	}
+	lines = append(lines,
+		"2026-01-01T00:00:01.000Z content lost content=00ab id=r-7 server=s-4 counted=ended ended=3",
+		"2026-01-01T00:00:01.000Z content lost content=00ac id=r-8 server=s-4 counted=ended ended=1",
+		"2026-01-01T00:00:04.000Z content refused content=00ab id=r-9 ended=3 source=self",
+		"2026-01-01T00:00:04.000Z request refused id=r-9 reason=ends-servers status=502 content=00ab trail=-")
+	out.Reset()
+	if !explain("r-9", lines, &out) || !strings.Contains(out.String(), "id=r-7") || strings.Contains(out.String(), "id=r-8") {
+		t.Errorf("losses of the request's content: got %s", out.String())
+	}
 	if explain("r-2", lines, &out) {
 		t.Error("found a request that no line mentions")
 	}
--- a/internal/faultlab/faultlab.go
+++ b/internal/faultlab/faultlab.go
@@ -181,7 +181,7 @@
 	s.RestartAfter = serverRestartTime
 	s.OnCrash = p.refuse
 	s.OnRestart = func() {
-		if err := p.listenAgain(); err != nil {
+		if err := p.listenAgain(s.Address()); err != nil {
 			c.recordError(errors.Wrapf(err, "restart server %s", id))
 		}
 		c.register(id, s.RegistrationAt(p.address(), "s", "zone-0", "ready"))
--- a/internal/faultlab/proxy.go
+++ b/internal/faultlab/proxy.go
@@ -35,13 +35,13 @@
 // proxy forwards TCP connections to one address, with a fault that can be
 // changed at any time. Bytes that a fault has dropped are never delivered.
 type proxy struct {
+	fault atomic.Int32
+
+	mu            sync.Mutex
 	listenAddress string
 	target        string
-	fault         atomic.Int32
-
-	mu       sync.Mutex
-	listener net.Listener
-	conns    map[net.Conn]bool
+	listener      net.Listener
+	conns         map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -54,7 +54,11 @@
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listenAddress }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listenAddress
+}
 
 // refuse refuses new connections until listenAgain.
 func (p *proxy) refuse() {
@@ -63,13 +67,18 @@
 	_ = p.listener.Close()
 }
 
-func (p *proxy) listenAgain() error {
-	l, err := net.Listen("tcp", p.listenAddress)
+// listenAgain accepts connections again and forwards them to target. The address
+// changes if another socket has got the port in the meantime.
+func (p *proxy) listenAgain(target string) error {
+	l, err := net.Listen("tcp", p.address())
+	if err != nil {
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		return err
 	}
 	p.mu.Lock()
-	p.listener = l
+	p.listener, p.listenAddress, p.target = l, l.Addr().String(), target
 	p.mu.Unlock()
 	go p.acceptLoop(l)
 	return nil
@@ -110,7 +119,10 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
-	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		_ = client.Close()
 		return
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -335,13 +335,13 @@
 	return q.workspace.Name
 }
 
-// contentName formats a request content for log lines and the store, empty if none
+// contentName formats a request content for log lines, empty if none
 // has been computed.
 func contentName(content uint64) string {
 	if content == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%016x", content)
+	return digest.ContentKey(content)
 }
 
 // logResult logs the request's outcome.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -15,10 +15,8 @@
 )
 
 const (
-	// contentsTopic holds the quarantined request contents, keyed by contentName.
-	contentsTopic = "keyed.coltsfoot.contents"
-	// contentsReadWait is the time for which the store holds a read of contentsTopic
-	// open. While this node lacks digests of some VMs, readWait replaces it.
+	// contentsReadWait is the time for which the store holds a read of the topic of
+	// contents open. While this node lacks digests of some VMs, readWait replaces it.
 	contentsReadWait = 10 * time.Second
 	// contentsWriteInterval is the interval at which new quarantines are stored.
 	contentsWriteInterval = 200 * time.Millisecond
@@ -40,7 +38,7 @@
 	table *quarantine.Table
 
 	mu sync.Mutex
-	// end is the offset up to which contentsTopic was read. listed is set once all
+	// end is the offset up to which the topic of contents was read. listed is set once all
 	// its keys were read.
 	end       uint64
 	listed    bool
@@ -99,7 +97,7 @@
 			return false
 		}
 		entry := z.table.TrialEntry(q.content, z.now())
-		if _, err = z.node.platform.AppendAt(ctx, contentsTopic, encodeContent(&entry), end); err == nil {
+		if _, err = z.node.platform.AppendAt(ctx, digest.ContentsTopic, encodeContent(&entry), end); err == nil {
 			z.table.Merge([]quarantine.Entry{entry}, quarantine.SourceSelf, z.now())
 			z.table.MarkStored([]quarantine.Entry{entry})
 			z.node.log.Event("content", "trial", "content", contentName(q.content), "id", q.call.ID, "service", q.service, "offset", end)
@@ -179,10 +177,10 @@
 }
 
 func encodeContent(e *quarantine.Entry) []byte {
-	return platform.EncodeKeyed(contentName(e.Content), digest.MarshalContent(e))
+	return platform.EncodeKeyed(digest.ContentKey(e.Content), digest.MarshalContent(e))
 }
 
-// followStore reads contentsTopic until ctx ends. In a complete deployment only the
+// followStore reads the topic of contents until ctx ends. In a complete deployment only the
 // nodes that read the store for others do, as news spreads by digests too.
 func (z *quarantiner) followStore(ctx context.Context) {
 	failures := 0
@@ -204,7 +202,7 @@
 			z.setListed(false)
 		default:
 			if failures++; failures == 1 {
-				z.node.log.Failure("store", "lost", "topic", contentsTopic, "error", err)
+				z.node.log.Failure("store", "lost", "topic", digest.ContentsTopic, "error", err)
 			}
 			sleep(ctx, min(storeBackoff<<min(failures, 4), maxStoreBackoff))
 		}
@@ -222,7 +220,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	items, end, err := z.node.platform.ListNewest(ctx, contentsTopic)
+	items, end, err := z.node.platform.ListNewest(ctx, digest.ContentsTopic)
 	if err != nil {
 		return err
 	}
@@ -241,7 +239,7 @@
 	z.mu.Lock()
 	from := z.end
 	z.mu.Unlock()
-	batch, err := z.node.platform.Read(ctx, contentsTopic, from, wait)
+	batch, err := z.node.platform.Read(ctx, digest.ContentsTopic, from, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -266,21 +264,17 @@
 	if len(value) == 0 {
 		return entries
 	}
-	e, err := digest.UnmarshalContent(value)
-	if err == nil && contentName(e.Content) != key {
-		err = errors.Newf("record of key %q holds content %s", key, contentName(e.Content))
-	}
+	e, err := digest.UnmarshalStoredContent(key, value)
 	if err != nil {
 		z.logUnreadable(offset, err)
 		return entries
 	}
-	e.Stored = true
 	return append(entries, e)
 }
 
 func (z *quarantiner) logUnreadable(offset uint64, err error) {
-	z.node.log.Failure("store", "unreadable-record", "topic", contentsTopic, "offset", offset, "error", err)
-	z.node.metrics.undecodableRecords.WithLabelValues(contentsTopic).Inc()
+	z.node.log.Failure("store", "unreadable-record", "topic", digest.ContentsTopic, "offset", offset, "error", err)
+	z.node.metrics.undecodableRecords.WithLabelValues(digest.ContentsTopic).Inc()
 }
 
 func (z *quarantiner) advance(end uint64) {
@@ -332,7 +326,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	offset, err := z.node.platform.AppendAll(ctx, contentsTopic, records)
+	offset, err := z.node.platform.AppendAll(ctx, digest.ContentsTopic, records)
 	if err != nil {
 		return err
 	}
@@ -354,7 +348,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	items, _, err := z.node.platform.ListNewest(ctx, contentsTopic)
+	items, _, err := z.node.platform.ListNewest(ctx, digest.ContentsTopic)
 	var records [][]byte
 	for _, it := range items {
 		e, decodeErr := digest.UnmarshalContent(it.Value)
@@ -363,7 +357,7 @@
 		}
 	}
 	if err == nil && len(records) > 0 {
-		_, err = z.node.platform.AppendAll(ctx, contentsTopic, records[:min(len(records), maxContentsPerWrite)])
+		_, err = z.node.platform.AppendAll(ctx, digest.ContentsTopic, records[:min(len(records), maxContentsPerWrite)])
 	}
 	if err != nil {
 		z.node.log.Failure("content", "not-cleaned-up", "error", err)
--- a/internal/protocol/digest/content.go
+++ b/internal/protocol/digest/content.go
@@ -1,6 +1,8 @@
 package digest
 
 import (
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -80,3 +82,20 @@
 	})
 	return ev, err
 }
+
+// ContentsTopic is the keyed topic of the store that holds the quarantined request
+// contents, by ContentKey.
+const ContentsTopic = "keyed.coltsfoot.contents"
+
+// ContentKey formats a request content's hash, for the store and for log lines.
+func ContentKey(content uint64) string { return fmt.Sprintf("%016x", content) }
+
+// UnmarshalStoredContent decodes a record of ContentsTopic.
+func UnmarshalStoredContent(key string, value []byte) (quarantine.Entry, error) {
+	e, err := UnmarshalContent(value)
+	if err == nil && ContentKey(e.Content) != key {
+		err = errors.Newf("record of key %q holds content %s", key, ContentKey(e.Content))
+	}
+	e.Stored = true
+	return e, err
+}
