quarantine: count broken answers only where the service's others arrive

A VM that loses many servers at once, as behind a cut or a reset of its connections, reported the interruptions of all its contents to VMs that could not see that everything broke off there. It now keeps them to itself; they still become ends when a server's new process shows that the old one ended. A server that neither accepts nor refuses connections after a loss counts as interrupted instead of not at all, so a request that ends whole machines is found before they are back.

Contents that servers answer are no longer written to the store: after a kill of all processes nobody was left to vouch for them.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -20,9 +20,9 @@
 
 // Kinds of events.
 const (
-	// Disconnected means that a server closed the connection before the answer was
-	// complete, and still accepted connections afterwards.
-	Disconnected Kind = iota + 1
+	// Interrupted means that a server's answer broke off and it is not known that the
+	// server ended.
+	Interrupted Kind = iota + 1
 	// Ended means that a server ended while it ran the content.
 	Ended
 	// TrialStarted means that a quarantined content is sent to one server.
@@ -33,7 +33,7 @@
 	Lifted
 )
 
-var kindNames = [...]string{"", "disconnected", "ended", "trial-started", "trial-passed", "lifted"}
+var kindNames = [...]string{"", "interrupted", "ended", "trial-started", "trial-passed", "lifted"}
 
 func (k Kind) String() string {
 	if int(k) < len(kindNames) {
@@ -69,13 +69,13 @@
 	// quarantineWeight is the total weight of losses at which a content is
 	// quarantined: three servers that ended. relapseWeight replaces it after a
 	// quarantine was lifted.
-	quarantineWeight   = 6
-	relapseWeight      = 2
-	endedWeight        = 2
-	disconnectedWeight = 1
-	// minDisconnectedServers is the number of different servers that must have
-	// disconnected or ended if not all of the weight is that of ended servers.
-	minDisconnectedServers = 3
+	quarantineWeight  = 6
+	relapseWeight     = 2
+	endedWeight       = 2
+	interruptedWeight = 1
+	// minLostServers is the number of different servers that must have been lost if
+	// interruptions count for a part of the weight.
+	minLostServers = 3
 	// sameLossWindow is the time within which losses of one server count as one.
 	sameLossWindow = 1500 * time.Millisecond
 	// maxLosses bounds the losses of an entry.
@@ -99,7 +99,7 @@
 
 func millis(d time.Duration) int64 { return d.Milliseconds() }
 
-func (e Event) isLoss() bool { return e.Kind == Ended || e.Kind == Disconnected }
+func (e Event) isLoss() bool { return e.Kind == Ended || e.Kind == Interrupted }
 
 // lossSlot returns the number of the sameLossWindow in which the event lies. An entry
 // holds one loss for each server and slot, so that the order in which VMs receive
@@ -190,7 +190,7 @@
 
 // lossCounts are the losses of an entry by kind, and the number of different
 // servers.
-type lossCounts struct{ ended, disconnected, servers int }
+type lossCounts struct{ ended, interrupted, servers int }
 
 // losses counts the losses of a server within sameLossWindow as one: several VMs, and
 // several requests of one VM, observe the same loss.
@@ -215,7 +215,7 @@
 		if ev.Kind == Ended {
 			c.ended++
 		} else {
-			c.disconnected++
+			c.interrupted++
 		}
 		if !slices.Contains(servers, ev.Server) {
 			servers = append(servers, ev.Server)
@@ -226,8 +226,8 @@
 }
 
 // isQuarantined reports whether the losses suffice for a quarantine.
-// countDisconnected states whether losses whose server went on count.
-func (e *Entry) isQuarantined(countDisconnected bool) bool {
+// countInterrupted states whether interruptions count.
+func (e *Entry) isQuarantined(countInterrupted bool) bool {
 	required := quarantineWeight
 	if e.Generation > 0 {
 		required = relapseWeight
@@ -236,8 +236,8 @@
 	if c.ended*endedWeight >= required {
 		return true
 	}
-	return countDisconnected && c.ended*endedWeight+c.disconnected*disconnectedWeight >= required &&
-		(c.servers >= minDisconnectedServers || e.Generation > 0)
+	return countInterrupted && c.ended*endedWeight+c.interrupted*interruptedWeight >= required &&
+		(c.servers >= minLostServers || e.Generation > 0)
 }
 
 // trials is the history of an entry's trials.
@@ -261,7 +261,7 @@
 			t.passed++
 			t.passedInRow++
 			t.openUntilMillis = 0
-		case Ended, Disconnected:
+		case Ended, Interrupted:
 			t.passedInRow = 0
 			t.openUntilMillis = 0
 		}
@@ -280,7 +280,7 @@
 	if t.passedInRow > 0 {
 		return t.openUntilMillis, true
 	}
-	return max(e.lastAtMillis(Ended, Disconnected)+millis(trialDelays[failed]), t.openUntilMillis), true
+	return max(e.lastAtMillis(Ended, Interrupted)+millis(trialDelays[failed]), t.openUntilMillis), true
 }
 
 // Lift returns the entry that ends a quarantine. Events before it no longer count,
@@ -291,8 +291,8 @@
 
 // Status summarises an entry.
 type Status struct {
-	Ended, Disconnected int
-	// Quarantined states whether the losses suffice for a quarantine, disconnections
+	Ended, Interrupted int
+	// Quarantined states whether the losses suffice for a quarantine, interruptions
 	// included.
 	Quarantined    bool
 	LastLossMillis int64
@@ -301,5 +301,5 @@
 // Status returns the entry's status.
 func (e *Entry) Status() Status {
 	c := e.losses()
-	return Status{Ended: c.ended, Disconnected: c.disconnected, Quarantined: e.isQuarantined(true), LastLossMillis: e.lastAtMillis(Ended, Disconnected)}
+	return Status{Ended: c.ended, Interrupted: c.interrupted, Quarantined: e.isQuarantined(true), LastLossMillis: e.lastAtMillis(Ended, Interrupted)}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -20,7 +20,7 @@
 
 func drawEvent(t *rapid.T) Event {
 	return Event{
-		Kind:     Kind(rapid.IntRange(int(Disconnected), int(TrialPassed)).Draw(t, "kind")),
+		Kind:     Kind(rapid.IntRange(int(Interrupted), int(TrialPassed)).Draw(t, "kind")),
 		Server:   uint32(rapid.IntRange(0, 5).Draw(t, "server")),
 		AtMillis: start.UnixMilli() + int64(rapid.IntRange(0, 20_000).Draw(t, "at")),
 	}
@@ -267,7 +267,7 @@
 		now = now.Add(20 * time.Millisecond)
 		content := 1000 + i%50
 		if i%3 == 0 {
-			table.RecordLoss(content, service, uint32(i%7), Disconnected, now, now)
+			table.RecordLoss(content, service, uint32(i%7), Interrupted, now, now)
 		} else {
 			table.RecordAnswer(content, service, now)
 		}
@@ -276,7 +276,7 @@
 		}
 	}
 	for server := range uint32(3) {
-		table.RecordLoss(innocent, "calm", server, Disconnected, now, now)
+		table.RecordLoss(innocent, "calm", server, Interrupted, now, now)
 	}
 	if d := table.Check(innocent, "calm", now); d.Refused {
 		t.Fatalf("refused after three lost answers: %+v", d)
@@ -349,12 +349,12 @@
 	}
 }
 
-func TestRestartConfirmsAnUnresolvedLoss(t *testing.T) {
+func TestRestartConfirmsInterruption(t *testing.T) {
 	table, now := NewTable(), start
 	for server := range uint32(3) {
 		now = now.Add(2 * time.Second)
-		table.RecordUnresolved(crashing, server, now)
-		table.RecordLoss(innocent, service, server, Disconnected, now, now)
+		table.RecordLoss(crashing, service, server, Interrupted, now, now)
+		table.RecordLoss(innocent, service, server, Interrupted, now, now)
 	}
 	if d := table.Check(crashing, service, now); d.Refused {
 		t.Fatalf("refused before any server is known to have ended: %+v", d)
--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -32,7 +32,7 @@
 	// contents are counted.
 	ratePeriod = 5 * time.Second
 	// minRateSamples and maxOthersLost bound the share of other contents that may
-	// be lost too: beyond it, a disconnection says nothing about a content.
+	// be interrupted too: beyond it, an interruption says nothing about a content.
 	minRateSamples = 4
 	maxOthersLost  = 0.25
 	// restartWindow is the time before the start of a server's process within which
@@ -83,7 +83,7 @@
 }
 
 // lossRate counts the contents of a service that were answered and those that were
-// disconnected, in two periods.
+// interrupted, in two periods.
 type lossRate struct {
 	startedAt time.Time
 	counts    [2]struct {
@@ -120,8 +120,7 @@
 		return Decision{}
 	}
 	d := Decision{Status: r.Status(), Source: r.source}
-	d.Refused = r.isQuarantined(!t.othersAreLost(service, content, now)) && t.creditOf(content, now) < innocentCredit &&
-		now.UnixMilli()-r.VouchedMillis > millis(vouchPeriod)
+	d.Refused = r.isQuarantined(!t.othersAreLost(service, content, now)) && !t.isInnocent(r, now)
 	if d.Refused {
 		at, ok := r.nextTrialMillis()
 		d.TrialDue = ok && now.UnixMilli() >= at
@@ -129,6 +128,12 @@
 	return d
 }
 
+// isInnocent reports whether servers answer the content, on this VM or on one that
+// has vouched for it.
+func (t *Table) isInnocent(r *record, now time.Time) bool {
+	return t.creditOf(r.Content, now) >= innocentCredit || now.UnixMilli()-r.VouchedMillis <= millis(vouchPeriod)
+}
+
 // record returns the record of a content, or nil if there is none.
 func (t *Table) record(content uint64, now time.Time) *record {
 	r := t.records[content]
@@ -177,13 +182,13 @@
 }
 
 // isHeavy reports whether the content is or was quarantined, perhaps only on VMs on
-// which disconnections count.
+// which interruptions count.
 func (r *record) isHeavy() bool { return r.weight >= quarantineWeight || r.Generation > 0 }
 
 // update follows a change of the entry.
 func (r *record) update(source string, sends int) {
 	c := r.losses()
-	r.weight = min(c.ended*endedWeight+c.disconnected*disconnectedWeight, quarantineWeight)
+	r.weight = min(c.ended*endedWeight+c.interrupted*interruptedWeight, quarantineWeight)
 	if r.weight < endedWeight && r.Generation == 0 {
 		sends = min(sends, relayedSends)
 	}
@@ -211,27 +216,25 @@
 	r.sends = max(r.sends, relayedSends)
 }
 
-// RecordLoss records that a server ended (kind Ended) or disconnected (kind
-// Disconnected) while it ran the content. It reports whether the loss was new.
+// RecordLoss records that a server ended (kind Ended) while it ran the content, or
+// that its answer broke off (kind Interrupted). An interruption does not count while
+// the answers of the service's other contents break off too, but it becomes an end if
+// RecordRestart shows that the server ended. RecordLoss reports whether the loss
+// counted and was new.
 func (t *Table) RecordLoss(content uint64, service string, server uint32, kind Kind, at, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addCredit(content, -lossCost, now)
-	if kind == Disconnected {
+	if kind == Interrupted {
 		t.rate(service, now).counts[0].lost[content] = true
 		t.addUnresolved(content, server, at)
+		if t.othersAreLost(service, content, now) {
+			return false
+		}
 	}
 	return t.addEvent(content, Event{Kind: kind, Server: server, AtMillis: at.UnixMilli()}, now)
 }
 
-// RecordUnresolved records that it is unknown whether a server ended while it ran
-// the content. The loss counts if RecordRestart shows that it did.
-func (t *Table) RecordUnresolved(content uint64, server uint32, at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.addUnresolved(content, server, at)
-}
-
 func (t *Table) addUnresolved(content uint64, server uint32, at time.Time) {
 	if len(t.unresolved) >= maxUnresolved {
 		t.unresolved = t.unresolved[1:]
@@ -348,7 +351,7 @@
 	c := e.clone()
 	c.VouchedMillis = min(c.VouchedMillis, nowMillis)
 	c.Events = slices.DeleteFunc(c.Events, func(ev Event) bool {
-		return ev.Kind < Disconnected || ev.Kind > Lifted || ev.AtMillis > nowMillis+millis(maxClockSkew) || nowMillis-ev.AtMillis > millis(Retention)
+		return ev.Kind < Interrupted || ev.Kind > Lifted || ev.AtMillis > nowMillis+millis(maxClockSkew) || nowMillis-ev.AtMillis > millis(Retention)
 	})
 	c.sort()
 	return c
@@ -418,7 +421,7 @@
 
 // Unstored returns the entries that this VM has to write to the store: those with
 // own events that the store lacks, if the content is or was quarantined or isolated
-// is set. If forOthers is set, it also returns the quarantined contents that no VM
+// is set. Innocent contents are left out. If forOthers is set, it also returns the quarantined contents that no VM
 // has stored relayDelay after the last event.
 func (t *Table) Unstored(isolated, forOthers bool, now time.Time) []Entry {
 	t.mu.Lock()
@@ -426,7 +429,7 @@
 	var out []Entry
 	for _, r := range t.records {
 		nowMillis := now.UnixMilli()
-		if r.isExpired(nowMillis) {
+		if r.isExpired(nowMillis) || t.isInnocent(r, now) {
 			continue
 		}
 		overdue := forOthers && !r.Stored && nowMillis-r.lastAtMillis() > millis(relayDelay)
--- a/internal/ctl/content.go
+++ b/internal/ctl/content.go
@@ -35,17 +35,17 @@
 
 // contentStatus is the output for one request content.
 type contentStatus struct {
-	Content      string    `json:"content"`
-	Ended        int       `json:"ended"`
-	Disconnected int       `json:"disconnected"`
-	Quarantined  bool      `json:"quarantined"`
-	LastLoss     time.Time `json:"last_loss"`
+	Content     string    `json:"content"`
+	Ended       int       `json:"ended"`
+	Interrupted int       `json:"interrupted"`
+	Quarantined bool      `json:"quarantined"`
+	LastLoss    time.Time `json:"last_loss"`
 }
 
 func newContentStatus(e *quarantine.Entry) contentStatus {
 	s := e.Status()
 	return contentStatus{
-		Content: digest.ContentKey(e.Content), Ended: s.Ended, Disconnected: s.Disconnected,
+		Content: digest.ContentKey(e.Content), Ended: s.Ended, Interrupted: s.Interrupted,
 		Quarantined: s.Quarantined, LastLoss: time.UnixMilli(s.LastLossMillis).UTC(),
 	}
 }
@@ -93,9 +93,9 @@
 	for i := range entries {
 		s := newContentStatus(&entries[i])
 		list = append(list, s)
-		rows = append(rows, []string{s.Content, strconv.Itoa(s.Ended), strconv.Itoa(s.Disconnected), strconv.FormatBool(s.Quarantined), s.LastLoss.Format(time.RFC3339)})
+		rows = append(rows, []string{s.Content, strconv.Itoa(s.Ended), strconv.Itoa(s.Interrupted), strconv.FormatBool(s.Quarantined), s.LastLoss.Format(time.RFC3339)})
 	}
-	return o.print(list, []string{"CONTENT", "ENDED", "DISCONNECTED", "QUARANTINED", "LAST LOSS"}, rows)
+	return o.print(list, []string{"CONTENT", "ENDED", "INTERRUPTED", "QUARANTINED", "LAST LOSS"}, rows)
 }
 
 func (o *options) liftContent(store, key string) error {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -73,7 +73,7 @@
 		q.isTrial = true
 		return false
 	}
-	q.node.log.Failure("content", "refused", "content", contentName(q.content), "id", q.call.ID, "service", q.service, "ended", d.Ended, "disconnected", d.Disconnected,
+	q.node.log.Failure("content", "refused", "content", contentName(q.content), "id", q.call.ID, "service", q.service, "ended", d.Ended, "interrupted", d.Interrupted,
 		"last-loss", z.now().Sub(time.UnixMilli(d.LastLossMillis)), "source", d.Source)
 	q.node.metrics.contentRefusals.WithLabelValues(q.service).Inc()
 	return true
@@ -133,8 +133,9 @@
 
 const reasonQuarantined = "ends-servers"
 
-// recordLoss counts a lost attempt against its request content if the server's state
-// shows that it ended, or at least that it closed the connection.
+// recordLoss counts a lost attempt against its request content, if the server ended or
+// interrupted its answer. An attempt that timed out on a server that still listens, or
+// that was leaving, does not count.
 func (z *quarantiner) recordLoss(b *backend, l loss, state serverState) {
 	n, now := z.node, z.now()
 	at := now.Add(-n.now().Sub(l.at))
@@ -143,16 +144,14 @@
 	case state == serverEnded:
 		z.table.RecordLoss(l.content, b.service, b.shortHash, quarantine.Ended, at, now)
 		counted = quarantine.Ended.String()
-	case state == serverListening && l.disconnected:
-		z.table.RecordLoss(l.content, b.service, b.shortHash, quarantine.Disconnected, at, now)
-		counted = quarantine.Disconnected.String()
-	case state == serverUnknown:
-		z.table.RecordUnresolved(l.content, b.shortHash, at)
-		counted = "unresolved"
+	case state == serverUnknown, state == serverListening && l.disconnected:
+		if z.table.RecordLoss(l.content, b.service, b.shortHash, quarantine.Interrupted, at, now) {
+			counted = quarantine.Interrupted.String()
+		}
 	}
 	d := z.table.Check(l.content, b.service, now)
 	n.log.Failure("content", "lost", "content", contentName(l.content), "id", l.requestID, "server", b.id, "outcome", l.outcome.String(),
-		"server-state", state.String(), "counted", counted, "ended", d.Ended, "disconnected", d.Disconnected, "quarantined", d.Refused)
+		"server-state", state.String(), "counted", counted, "ended", d.Ended, "interrupted", d.Interrupted, "quarantined", d.Refused)
 	n.metrics.contentLosses.WithLabelValues(b.service, state.String()).Inc()
 }
 
@@ -163,7 +162,7 @@
 	}
 	for _, content := range z.table.RecordRestart(serverHash, time.UnixMilli(startedMillis), z.now()) {
 		d := z.table.Check(content, "", z.now())
-		z.node.log.Failure("content", "server-ended", "content", contentName(content), "server", id, "ended", d.Ended, "disconnected", d.Disconnected, "quarantined", d.Refused)
+		z.node.log.Failure("content", "server-ended", "content", contentName(content), "server", id, "ended", d.Ended, "interrupted", d.Interrupted, "quarantined", d.Refused)
 	}
 }
 
@@ -171,7 +170,7 @@
 func (z *quarantiner) merge(entries []quarantine.Entry, source string) {
 	for _, content := range z.table.Merge(entries, source, z.now()) {
 		if d := z.table.Check(content, "", z.now()); d.Refused {
-			z.node.log.Event("content", "quarantined", "content", contentName(content), "ended", d.Ended, "disconnected", d.Disconnected, "source", source)
+			z.node.log.Event("content", "quarantined", "content", contentName(content), "ended", d.Ended, "interrupted", d.Interrupted, "source", source)
 		}
 	}
 }
