httpserver: a late event for an old connection closed a new one

Cause: the library's read loop receives events in batches and finds each event's connection by its descriptor. A handler closes a connection while the caller's close of it waits in the batch; a new connection gets the descriptor, and the loop closes it for the old event. The failed requests had no log line and no run: they were never read.

Change: the listener duplicates the accepted descriptor, then sends the read loop a byte over a connection of the server's own, and hands the connection to the library when the loop has received it. All events of batches that could name an earlier owner of the descriptor are then handled. This takes the place of the check that the loop has started.

--- a/internal/transport/httpserver/httpserver.go
+++ b/internal/transport/httpserver/httpserver.go
@@ -59,9 +59,7 @@
 	listener  *listener
 	closeOnce sync.Once
 	stopped   chan struct{}
-	// loopRunning is closed once the library's read loop has handled a connection.
-	loopRunning     chan struct{}
-	loopRunningOnce sync.Once
+	barrier   *barrier
 
 	// onReject is called for rejected connections. It may be nil.
 	onReject func(caller string, status int)
@@ -80,9 +78,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Address)
 	}
-	listener := newListener(inner)
+	barrier := newBarrier()
+	listener := newListener(inner, barrier.awaitOrLog)
 	s := &Server{
-		listener: listener, stopped: make(chan struct{}), loopRunning: make(chan struct{}), conns: map[*nbio.Conn]*connState{},
+		listener: listener, barrier: barrier, stopped: make(chan struct{}), conns: map[*nbio.Conn]*connState{},
 		limits: Limits{HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout}, onReject: cfg.OnReject,
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
@@ -102,29 +101,13 @@
 	})
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnData(s.onData)
-	s.engine.OnClose(func(net.Conn, error) { s.loopRunningOnce.Do(func() { close(s.loopRunning) }) })
 	if err := s.engine.Start(); err != nil {
 		return nil, errors.Wrapf(err, "start server %s", cfg.Name)
 	}
 	go s.watchConns()
-	return s, s.waitForReadLoop()
-}
-
-// waitForReadLoop waits until the library's read loop runs. When the loop
-// starts, it resets the flag that Stop sets, so a Stop before that would hang
-// forever.
-func (s *Server) waitForReadLoop() error {
-	conn, err := net.DialTimeout("tcp", s.Address(), startTimeout)
-	if err != nil {
-		return errors.Wrapf(err, "connect to own address %s", s.Address())
-	}
-	_ = conn.Close()
-	select {
-	case <-s.loopRunning:
-		return nil
-	case <-time.After(startTimeout):
-		return errors.Newf("read loop did not handle the connection to own address %s", s.Address())
-	}
+	// When the read loop starts, it resets the flag that Stop sets, so a Stop before
+	// that would hang forever.
+	return s, s.barrier.open(s.Address())
 }
 
 const (
@@ -132,7 +115,7 @@
 	// libraryKeepalive is longer than any request or idle time, because the
 	// library's own idle timer also runs during a request.
 	libraryKeepalive = 24 * time.Hour
-	// pollers is 1, so one handled connection proves that the only read loop runs.
+	// pollers is 1, because the barrier waits for one read loop.
 	pollers         = 1
 	maxHeaderBytes  = 64 << 10
 	readBufferBytes = 16 << 10
@@ -182,6 +165,7 @@
 		close(s.stopped)
 		s.listener.stopAccepting()
 		s.engine.Stop()
+		s.barrier.close()
 		s.cancelAll()
 	})
 }
--- a/internal/transport/httpserver/isolation_test.go
+++ b/internal/transport/httpserver/isolation_test.go
@@ -82,8 +82,7 @@
 				req.ContentLength = int64(len(body))
 				req.Header.Set("Request-Id", id)
 				resp, err := client.Do(req)
-				// A connection may end without an answer; callers retry in that case.
-				if isTimeout(err) {
+				if isTimeout(err) || err != nil && ctx.Err() == nil {
 					t.Errorf("request %s: %v", id, err)
 					cancel()
 					return
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio"
 )
 
 const (
@@ -20,13 +21,16 @@
 // closed.
 type listener struct {
 	net.Listener
-	acceptEnded chan struct{}
-	once        sync.Once
-	sleep       func(time.Duration)
+	// awaitBarrier waits until the read loop has handled all events that it had
+	// received before the call.
+	awaitBarrier func()
+	acceptEnded  chan struct{}
+	once         sync.Once
+	sleep        func(time.Duration)
 }
 
-func newListener(inner net.Listener) *listener {
-	return &listener{Listener: inner, acceptEnded: make(chan struct{}), sleep: time.Sleep}
+func newListener(inner net.Listener, awaitBarrier func()) *listener {
+	return &listener{Listener: inner, awaitBarrier: awaitBarrier, acceptEnded: make(chan struct{}), sleep: time.Sleep}
 }
 
 // Accept returns the next connection. Only one loop calls it, so an error after
@@ -39,7 +43,19 @@
 		l.once.Do(func() { close(l.acceptEnded) })
 		l.sleep(closedErrorDelay)
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	// The conversion duplicates the file descriptor, so it comes before the barrier.
+	// The read loop finds connections by descriptor: an event that it received for a
+	// connection which has been closed since would close a new one that has got the
+	// same descriptor.
+	nonBlocking, err := nbio.NBConn(conn)
+	if err != nil {
+		return conn, nil
+	}
+	l.awaitBarrier()
+	return nonBlocking, nil
 }
 
 // stopAccepting closes the listener and waits until the accept loop has
--- a/internal/transport/httpserver/progress.go
+++ b/internal/transport/httpserver/progress.go
@@ -100,6 +100,12 @@
 // onData handles bytes received on a connection. It passes them to the
 // library's parser unless the connection has been rejected.
 func (s *Server) onData(conn *nbio.Conn, data []byte) {
+	if s.barrier.receive(conn) {
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+		return
+	}
 	s.mu.Lock()
 	state := s.stateOf(conn)
 	rejected := state.rejected
