upstream: more than four surplus answers hid the answer to a request

On a connection that has carried several requests to a server which answers each twice, a stalled process can find many surplus answers before its own. The log of a failed run says "received only interim answers or answers to other requests".

The bound is 256 answers now, and the bodies of skipped answers count together against 1 MB.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -52,9 +52,10 @@
 	// to allow for the network latency of the next request.
 	idleMargin = 400 * time.Millisecond
 	// maxAnswersPerRequest bounds the answers read for one request, including
-	// skipped ones that are interim or belong to other requests.
-	maxAnswersPerRequest = 4
-	// maxSkippedBytes bounds the body of a skipped answer.
+	// skipped ones that are interim or belong to other requests. A connection may
+	// have carried many requests whose surplus answers are late.
+	maxAnswersPerRequest = 256
+	// maxSkippedBytes bounds the bodies of the answers skipped for one request.
 	maxSkippedBytes = 1 << 20
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes    = 64 << 10
@@ -211,6 +212,7 @@
 // readHead reads the head of the answer. It skips interim answers and answers
 // that belong to other requests.
 func (a *Answer) readHead(req Request) error {
+	skipped := int64(0)
 	for range maxAnswersPerRequest {
 		a.conn.headLimit.N = maxHeadBytes
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: req.Method})
@@ -229,8 +231,9 @@
 			a.Status, a.Header, a.Body, a.resp = resp.StatusCode, resp.Header, resp.Body, resp
 			return nil
 		}
-		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1)); err != nil || n > maxSkippedBytes || resp.Close {
-			return errors.Newf("cannot skip answer to another request: %d bytes read, error: %v", n, err)
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+		if skipped += n; err != nil || skipped > maxSkippedBytes || resp.Close {
+			return errors.Newf("cannot skip answer to another request: %d bytes read, error: %v", skipped, err)
 		}
 	}
 	return errors.New("received only interim answers or answers to other requests")
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -118,6 +118,42 @@
 
 // TestClosedConnectionIsNotReused has the server close each connection after
 // its answer without announcing it.
+// TestManySurplusAnswersHideTheAnswer: on a busy machine the surplus answers to several
+// earlier requests arrive together, after the next request was sent.
+func TestManySurplusAnswersHideTheAnswer(t *testing.T) {
+	address, _ := serve(t, func(c net.Conn, reader *bufio.Reader) {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		for i := range 20 {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: earlier-%d\r\nContent-Length: 1\r\n\r\nx", i)
+		}
+		echo(c, r)
+	})
+	if got, err := exchange(t, newPool(address, 1), "own"); err != nil || got != "own" {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+// TestSkippedAnswersAreUnbounded: the bodies of skipped answers count together.
+func TestSkippedAnswersAreUnbounded(t *testing.T) {
+	address, _ := serve(t, func(c net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		body := strings.Repeat("x", maxSkippedBytes/2)
+		for {
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+				return
+			}
+		}
+	})
+	if got, err := exchange(t, newPool(address, 1), "own"); !errors.Is(err, ErrIncomplete) {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
 func TestClosedConnectionIsNotReused(t *testing.T) {
 	address, connections := serve(t, func(c net.Conn, r *bufio.Reader) {
 		if req, err := http.ReadRequest(r); err == nil {
