coordinator: a submission right after a start was refused

Cause: after a start, or when the log has dropped records, the replay lacks records until it has read a checkpoint, and a submission was refused at once. It now waits for that within submit_timeout.

--- a/internal/coordinator/documents.go
+++ b/internal/coordinator/documents.go
@@ -68,7 +68,7 @@
 }
 
 func (c *Coordinator) submitDocument(ctx context.Context, in adminapi.SubmitRequest, doc *document.Document) (int, adminapi.SubmitAnswer) {
-	if !c.replay.Complete() {
+	if !c.awaitComplete(ctx) {
 		return http.StatusServiceUnavailable, adminapi.SubmitAnswer{
 			Result: adminapi.NotSubmitted, Revision: c.replay.State().Revision, Message: "this coordinator has not read records that the log no longer keeps",
 		}
@@ -88,6 +88,22 @@
 	return http.StatusOK, adminapi.SubmitAnswer{Result: adminapi.Accepted, Revision: applied.Offset, Operator: in.Operator}
 }
 
+// completePollInterval is the interval at which awaitComplete checks the replay.
+const completePollInterval = 10 * time.Millisecond
+
+// awaitComplete waits until the replay is complete, and reports whether it is. After
+// a start, or when the log has dropped records, it takes a read or two.
+func (c *Coordinator) awaitComplete(ctx context.Context) bool {
+	for !c.replay.Complete() {
+		select {
+		case <-time.After(completePollInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 func conflictMessage(base uint64, s *control.State) string {
 	if base > s.Revision {
 		return "no such base revision"
