gateway: two data races, of digests and of servers' entries

composeDigest counted its sequence without the lock that other senders hold: a node that drains sends digests beside its loop, and lost updates shift when usage is sent.

put replaced a server's entry under the table's lock while attempts read it without. The entry could change to another version in the middle of an attempt, which then counted for the wrong side of a version move. An attempt now has a copy of the entry as it was when the server was chosen.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -23,7 +23,7 @@
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes))
 		answer.Close(err == nil)
 		n.backends.recordFull(a.placed, q.call.Parts, n.now())
-		n.log.Event("attempt", "not-run", "id", q.call.ID, "server", a.placed.server.info.ID, "status", answer.Status)
+		n.log.Event("attempt", "not-run", "id", q.call.ID, "server", a.placed.server.id, "status", answer.Status)
 		return outcomeNotRun
 	}
 	q.possibleRuns++
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,16 +177,16 @@
 	if isRetry && outcome == outcomeNotSent {
 		n.retries.GiveBack(q.service, n.now())
 	}
-	n.moves.countOutcome(&p.server.info, outcome)
+	n.moves.countOutcome(&p.info, outcome)
 	n.metrics.attempts.WithLabelValues(q.service, outcome.String()).Inc()
-	q.trail += p.server.info.ID + ":" + outcome.String() + ","
+	q.trail += p.server.id + ":" + outcome.String() + ","
 	return q.afterAttempt(p, outcome)
 }
 
 // afterAttempt reports whether the request is finished after an attempt with this
 // outcome. If so, it sends the final answer unless the caller already has one.
 func (q *request) afterAttempt(p *placedAttempt, outcome attemptOutcome) bool {
-	id := p.server.info.ID
+	id := p.server.id
 	q.tried[id] = true
 	switch outcome {
 	case outcomeAnswered:
@@ -277,7 +277,7 @@
 	q.sentCount++
 	q.predictedFirstToken = p.choice.FirstToken
 	q.uncachedTokens = p.choice.UncachedTokens
-	q.lastServer = p.server.info.ID
+	q.lastServer = p.server.id
 	if q.sentCount == 1 {
 		q.node.retries.RecordFirstAttempt(q.service, q.node.now())
 	}
@@ -327,7 +327,7 @@
 
 func (q *request) upstreamRequest(p *placedAttempt, now time.Time) upstream.Request {
 	forward := platform.ForwardedFields{
-		Server:    p.server.info.ID,
+		Server:    p.server.id,
 		Workspace: q.workspaceName(),
 		Timeout:   q.deadline.Sub(now),
 		Priority:  q.priority(),
@@ -373,7 +373,7 @@
 		if !errors.Is(err, upstream.ErrConnectionLimit) && a.ctx.Err() == nil {
 			n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: true}, n.now())
 			n.backends.recordConnectFailure(a.placed, n.now())
-			n.log.Failure("attempt", "not-sent", "id", q.call.ID, "server", a.placed.server.info.ID, "error", err)
+			n.log.Failure("attempt", "not-sent", "id", q.call.ID, "server", a.placed.server.id, "error", err)
 		}
 		return a.outcomeOr(outcomeNotSent)
 	}
@@ -397,7 +397,7 @@
 	}
 	if outcome == outcomeLost || outcome == outcomeUnresponsive {
 		n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: true}, n.now())
-		n.log.Failure("attempt", outcome.String(), "id", a.q.call.ID, "server", a.placed.server.info.ID, "after", n.now().Sub(a.startedAt), "events", a.q.lastEventID, "error", err)
+		n.log.Failure("attempt", outcome.String(), "id", a.q.call.ID, "server", a.placed.server.id, "after", n.now().Sub(a.startedAt), "events", a.q.lastEventID, "error", err)
 	}
 	return outcome
 }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -55,19 +55,19 @@
 
 // backend is a backend server with this node's load on it.
 type backend struct {
-	info deployment.Server
-	// id and service are those of info. They do not change.
+	// id and service are those of the server's entry. They do not change.
 	id, service string
 	// hash is the hash of the server's ID. Digests identify the server by
 	// shortHash, its lower half.
 	hash      uint64
 	shortHash uint32
 	pool      *upstream.Pool
-	// removedAt is the time at which the server's entry was removed from the store,
-	// zero while there is an entry.
-	removedAt time.Time
 
 	// The fields below are guarded by the table's lock.
+	info deployment.Server
+	// removedAt is the time at which the server's entry was removed from the store,
+	// zero while there is an entry.
+	removedAt   time.Time
 	ownLoad     placement.Load
 	cachedParts map[uint64]time.Time
 	fullUntil   time.Time
@@ -317,7 +317,9 @@
 // placedAttempt is an attempt that is assigned to a server, with the load that it
 // adds there.
 type placedAttempt struct {
-	server    *backend
+	server *backend
+	// info is the server's entry when it was chosen.
+	info      deployment.Server
 	choice    placement.Choice
 	load      placement.Load
 	inPrefill bool
@@ -476,6 +478,7 @@
 func (t *backendTable) reserve(b *backend, choice placement.Choice, query *serverQuery, now time.Time) *placedAttempt {
 	p := &placedAttempt{
 		server:    b,
+		info:      b.info,
 		choice:    choice,
 		inPrefill: query.request.PromptTokens > 0,
 		health:    healthKey(&b.info),
--- a/internal/gateway/backends_test.go
+++ b/internal/gateway/backends_test.go
@@ -34,13 +34,13 @@
 	excludeHere := map[string]bool{"here": true}
 	for _, length := range []time.Duration{minConnectBackoff, 2 * minConnectBackoff, 4 * minConnectBackoff, maxConnectBackoff, maxConnectBackoff} {
 		p := choose(excludeHere, now)
-		if p.server.info.ID != "away" {
+		if p.server.id != "away" {
 			t.Fatal("the only remaining server was not chosen")
 		}
 		table.recordConnectFailure(p, now)
 		last := now.Add(length - time.Millisecond)
 		for range 20 {
-			if choose(nil, last).server.info.ID == "away" {
+			if choose(nil, last).server.id == "away" {
 				t.Fatalf("unreachable server chosen before %v passed", length)
 			}
 		}
@@ -73,9 +73,24 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 20 {
 		p := table.choose(&serverQuery{service: "s", request: placement.Request{PromptTokens: 10_000, AnswerTokens: 100}}, now, random)
-		if p.server.info.ID != "e-2" {
+		if p.server.id != "e-2" {
 			t.Fatal("an engine with full memory was chosen")
 		}
 		table.release(p)
 	}
 }
+
+// TestAttemptIsCountedForLaterVersion: the entry of a server may change while an
+// attempt runs there.
+func TestAttemptIsCountedForLaterVersion(t *testing.T) {
+	now := time.Unix(1_900_000_000, 0)
+	table := newTestTable(now)
+	entry := deployment.Server{ID: "e-1", Service: "s", Address: "127.0.0.1:1", Slots: 64, SoftwareVersion: "v1"}
+	table.put(entry, now)
+	p := table.choose(&serverQuery{service: "s"}, now, rand.New(rand.NewPCG(1, 2)))
+	entry.SoftwareVersion, entry.Leaving = "v2", true
+	table.put(entry, now)
+	if p.info.SoftwareVersion != "v1" || p.info.Leaving {
+		t.Errorf("the attempt has the entry %+v", p.info)
+	}
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -267,7 +267,10 @@
 // composeDigest returns a digest with this node's own state.
 func (m *members) composeDigest(now time.Time) gossip.Digest {
 	n := m.node
+	m.mu.Lock()
 	m.sequence++
+	sequence := m.sequence
+	m.mu.Unlock()
 	d := gossip.Digest{
 		WallMillis: time.Now().UnixMilli(),
 		Loads:      n.backends.ownLoads(),
@@ -281,7 +284,7 @@
 	}
 	d.Moves = n.moves.ownReport()
 	d.Contents = n.quarantiner.table.Outgoing(maxDigestContents)
-	if m.sequence%digestsPerUsage == 0 || d.Draining {
+	if sequence%digestsPerUsage == 0 || d.Draining {
 		m.addUsageAndWork(&d, now)
 	}
 	return d
