entry: a request given up as crashing was reported as not run

A caller that sent a crashing request under a new key got crashes_backend_servers with run = not_run: that key had not run, but its content had, on the servers that crashed. The error now says unknown.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -321,7 +321,7 @@
 		e = newError(callerapi.DeadlinePassed, run, "the deadline has passed")
 	case answer.ReasonCrashes:
 		r.node.metrics.condemnedRequests.Inc()
-		e = withRetryAfter(suspects.CrashRetention, newError(callerapi.CrashesBackends, run, "backend servers crashed while they ran this request"))
+		e = withRetryAfter(suspects.CrashRetention, newError(callerapi.CrashesBackends, callerapi.RunUnknown, "backend servers crashed while they ran requests with this content"))
 	default:
 		e = withRetryAfter(time.Second, newError(callerapi.BackendFailed, run, "no backend server could answer"))
 	}
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -37,7 +37,7 @@
 	for i := range 6 {
 		callers.Go(func() {
 			r := c.send(c.nodes[i%3], fmt.Sprintf("crash-%d", i), "this is poison indeed", 5, 0, 0, nil)
-			if r.err == nil || r.err.Code != callerapi.CrashesBackends || r.err.RetryAfterMillis == 0 {
+			if r.err == nil || r.err.Code != callerapi.CrashesBackends || r.err.RetryAfterMillis == 0 || r.err.Run == callerapi.NotRun {
 				t.Errorf("crashing request %d: %+v %+v", i, r, r.err)
 			}
 		})
