entry: rejections of a model request's caller retry said not run

A caller that repeats a model request under its key at another entry VM could be told not_run, while the first one was running or had run elsewhere. Calls of plain services already answered unknown; rejections and failures of model requests do now. TestCallerRetryOfModelRequestIsNotRun failed before.

--- a/internal/entry/answer_stream.go
+++ b/internal/entry/answer_stream.go
@@ -17,6 +17,7 @@
 type answerStream struct {
 	node   *Node
 	w      http.ResponseWriter
+	r      *http.Request
 	target target
 	req    *requests.Request
 	// offset is the number of tokens that the caller already has.
@@ -86,6 +87,7 @@
 
 // fail sends an error, within the event stream if that is already open.
 func (s *answerStream) fail(e *callerapi.Error) {
+	e = hideNotRunFromRetry(s.r, e)
 	if s.events == nil {
 		s.node.writeError(s.w, s.target, e)
 		return
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -25,22 +25,22 @@
 func (n *Node) serveModel(w http.ResponseWriter, r *http.Request, t target) {
 	body, rejection := n.readBody(r)
 	if rejection != nil {
-		n.writeError(w, t, rejection)
+		n.writeError(w, t, hideNotRunFromRetry(r, rejection))
 		return
 	}
 	in, rejection := decodeGenerate(body)
 	if rejection != nil {
-		n.writeError(w, t, rejection)
+		n.writeError(w, t, hideNotRunFromRetry(r, rejection))
 		return
 	}
 	req, rejection := n.openRequest(t, in)
 	if rejection != nil {
-		n.writeError(w, t, rejection)
+		n.writeError(w, t, hideNotRunFromRetry(r, rejection))
 		return
 	}
 	req.AddReader()
 	defer func() { req.RemoveReader(n.clock.Now()) }()
-	stream := answerStream{node: n, w: w, target: t, req: req, offset: in.FromOffset}
+	stream := answerStream{node: n, w: w, r: r, target: t, req: req, offset: in.FromOffset}
 	stream.run(r.Context())
 }
 
--- a/internal/entry/rejections_test.go
+++ b/internal/entry/rejections_test.go
@@ -154,3 +154,35 @@
 		t.Fatalf("%+v", answer.Error)
 	}
 }
+
+// TestCallerRetryOfModelRequestIsNotRun: an earlier request with the key may have run at
+// another entry VM.
+func TestCallerRetryOfModelRequestIsNotRun(t *testing.T) {
+	n := startNode(t, logservice.New(logservice.Config{}))
+	for _, retry := range []bool{false, true} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+n.CallerAddress()+"/v1/services/assistant/routes/ask", strings.NewReader(`{"prompt":" ","max_tokens":5}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set(callerapi.WorkspaceHeader, "branches")
+		req.Header.Set("Authorization", "Bearer "+testToken)
+		req.Header.Set(callerapi.IdempotencyKeyHeader, "k")
+		want := callerapi.NotRun
+		if retry {
+			req.Header.Set(callerapi.ResendHeader, "true")
+			want = callerapi.RunUnknown
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var got callerapi.ErrorAnswer
+		if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+			t.Fatal(err)
+		}
+		if got.Error.Run != want {
+			t.Errorf("caller retry %v: %+v", retry, got)
+		}
+	}
+}
