gateway: a server that restarts at once counts as ended

The check after a lost attempt found it listening again, and the entry with the new start time had been read before the loss was recorded, so the loss stayed an interruption (found by reading; TestFastRestartHidesLoss).

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -182,6 +182,15 @@
 	return b.info.Leaving || !b.removedAt.IsZero()
 }
 
+// hasRestarted reports whether a later entry shows that the server's process has ended:
+// a new process has registered under the same ID.
+func (t *backendTable) hasRestarted(b *backend) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.byID[b.id]
+	return current != nil && current != b && current.info.StartedAtMillis > b.info.StartedAtMillis
+}
+
 // othersAt returns the IDs of the servers at an address other than the given one.
 func (t *backendTable) othersAt(address, id string) []string {
 	t.mu.Lock()
--- a/internal/gateway/backends_test.go
+++ b/internal/gateway/backends_test.go
@@ -94,3 +94,22 @@
 		t.Errorf("the attempt has the entry %+v", p.info)
 	}
 }
+
+// TestFastRestartHidesLoss: a server may listen again before its loss is examined.
+func TestFastRestartHidesLoss(t *testing.T) {
+	now := time.Unix(1_900_000_000, 0)
+	table := newTestTable(now)
+	entry := deployment.Server{ID: "e-1", Service: "s", Address: "127.0.0.1:1", Slots: 64, StartedAtMillis: 1000}
+	table.put(entry, now)
+	b := table.byID["e-1"]
+	entry.Leaving = true
+	table.put(entry, now)
+	if table.hasRestarted(b) {
+		t.Error("a changed entry is taken for a restart")
+	}
+	entry.StartedAtMillis = 2000
+	table.put(entry, now)
+	if !table.hasRestarted(b) {
+		t.Error("a restart is not recognised")
+	}
+}
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -102,9 +102,12 @@
 	if !n.backends.isLeaving(b) {
 		state = n.checkServer(b)
 	}
-	// The announcement may have been read during the check.
-	if n.backends.isLeaving(b) {
+	// An announcement or a restart may have been read during the check.
+	switch {
+	case n.backends.isLeaving(b):
 		state = serverLeaving
+	case n.backends.hasRestarted(b):
+		state = serverEnded
 	}
 	c.mu.Lock()
 	losses := c.waiting[b]
