--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -15,6 +15,9 @@
 	// 1: after a start all servers were ramping up, and the choice of a server skipped
 	// all of them.
 	1,
+	// 2, 3: a request that ends its servers was sent on to all of them, until the
+	// others were rarely served.
+	2, 3,
 }
 
 // TestFaults runs a short round of each seed with the real gateway program.
@@ -25,7 +28,7 @@
 	}
 	for _, seed := range seeds {
 		var out strings.Builder
-		o := Options{Seed: seed, Processes: 3, Binary: binary, Dir: t.TempDir(), RoundDuration: 4 * time.Second}
+		o := Options{Seed: seed, Processes: 3, Binary: binary, Dir: t.TempDir(), RoundDuration: 10 * time.Second}
 		if err := Run(context.Background(), o, &out); err != nil {
 			t.Errorf("%v\n%s", err, out.String())
 		}
