quarantine: the end of a server was held against earlier broken answers

An answer that breaks off on a server which then listens became an end if a new process of the server registered within 30 s.

A server that listened at the check either had not ended or had restarted by then, so only a process that started before the check turns the interruption into an end; 30 s remain for servers that did not answer the check. TestRestartConfirmsInterruption has both.

--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -18,6 +18,11 @@
 	service  = "s"
 )
 
+// lose records a loss of a server that does not answer afterwards.
+func lose(table *Table, content uint64, server uint32, kind Kind, now time.Time) {
+	table.RecordLoss(Loss{Content: content, Service: service, Server: server, Kind: kind, At: now, RestartBy: now.Add(time.Minute)}, now)
+}
+
 func drawEvent(t *rapid.T) Event {
 	return Event{
 		Kind:     Kind(rapid.IntRange(int(Interrupted), int(TrialPassed)).Draw(t, "kind")),
@@ -135,7 +140,7 @@
 		return false
 	}
 	if content == crashing {
-		c.tables[vm].RecordLoss(content, service, server, Ended, c.now, c.now)
+		lose(c.tables[vm], content, server, Ended, c.now)
 	} else {
 		c.tables[vm].RecordAnswer(content, service, c.now)
 	}
@@ -216,7 +221,7 @@
 		table.RecordAnswer(innocent, service, now)
 	}
 	for server := range uint32(4) {
-		table.RecordLoss(innocent, service, server, Ended, now, now)
+		lose(table, innocent, server, Ended, now)
 	}
 	if d := table.Check(innocent, service, now); d.Refused {
 		t.Fatalf("refused: %+v", d)
@@ -232,7 +237,7 @@
 		for range 10 {
 			table.RecordAnswer(innocent, service, now)
 		}
-		table.RecordLoss(innocent, service, server, Ended, now, now)
+		lose(table, innocent, server, Ended, now)
 	}
 	table.RecordAnswer(innocent, service, now)
 	restarted := NewTable()
@@ -252,7 +257,7 @@
 	}
 	for server := range uint32(12) {
 		now = now.Add(time.Second)
-		table.RecordLoss(crashing, service, server, Ended, now, now)
+		lose(table, crashing, server, Ended, now)
 	}
 	if d := table.Check(crashing, service, now); !d.Refused {
 		t.Fatalf("not refused: %+v", d)
@@ -267,7 +272,7 @@
 		now = now.Add(20 * time.Millisecond)
 		content := 1000 + i%50
 		if i%3 == 0 {
-			table.RecordLoss(content, service, uint32(i%7), Interrupted, now, now)
+			lose(table, content, uint32(i%7), Interrupted, now)
 		} else {
 			table.RecordAnswer(content, service, now)
 		}
@@ -276,7 +281,7 @@
 		}
 	}
 	for server := range uint32(3) {
-		table.RecordLoss(innocent, "calm", server, Interrupted, now, now)
+		table.RecordLoss(Loss{Content: innocent, Service: "calm", Server: server, Kind: Interrupted, At: now, RestartBy: now.Add(time.Minute)}, now)
 	}
 	if d := table.Check(innocent, "calm", now); d.Refused {
 		t.Fatalf("refused after three lost answers: %+v", d)
@@ -289,7 +294,7 @@
 	table, now := NewTable(), start
 	for server := range uint32(3) {
 		now = now.Add(2 * time.Second)
-		table.RecordLoss(crashing, service, server, Ended, now, now)
+		lose(table, crashing, server, Ended, now)
 	}
 	if d := table.Check(crashing, service, now); !d.Refused || d.TrialDue {
 		t.Fatalf("after three losses: %+v", d)
@@ -324,7 +329,7 @@
 		t.Fatalf("refused after the quarantine was lifted: %+v", d)
 	}
 	now = now.Add(10 * time.Second)
-	table.RecordLoss(crashing, service, 9, Ended, now, now)
+	lose(table, crashing, 9, Ended, now)
 	if d := table.Check(crashing, service, now); !d.Refused {
 		t.Fatalf("not refused after another loss: %+v", d)
 	}
@@ -338,7 +343,7 @@
 		if table.Check(crashing, service, now).TrialDue {
 			trialCount++
 			startTrial(t, table, now)
-			table.RecordLoss(crashing, service, 99, Ended, now, now)
+			lose(table, crashing, 99, Ended, now)
 		}
 	}
 	if trialCount != 2 {
@@ -353,20 +358,25 @@
 	table, now := NewTable(), start
 	for server := range uint32(3) {
 		now = now.Add(2 * time.Second)
-		table.RecordLoss(crashing, service, server, Interrupted, now, now)
-		table.RecordLoss(innocent, service, server, Interrupted, now, now)
+		lose(table, crashing, server, Interrupted, now)
+		// The innocent content's servers listened when they were checked.
+		table.RecordLoss(Loss{Content: innocent, Service: service, Server: server, Kind: Interrupted, At: now, RestartBy: now.Add(100 * time.Millisecond)}, now)
 	}
 	if d := table.Check(crashing, service, now); d.Refused {
 		t.Fatalf("refused before any server is known to have ended: %+v", d)
 	}
+	now = now.Add(2 * time.Second)
 	for server := range uint32(3) {
-		if got := table.RecordRestart(server, now.Add(time.Second), now.Add(time.Second)); len(got) != 2 {
+		if got := table.RecordRestart(server, now, now); len(got) != 1 || got[0] != crashing {
 			t.Fatalf("contents of server %d: %v", server, got)
 		}
 	}
-	if d := table.Check(crashing, service, now.Add(time.Second)); !d.Refused || d.Ended != 3 {
+	if d := table.Check(crashing, service, now); !d.Refused || d.Ended != 3 {
 		t.Fatalf("after the restarts: %+v", d)
 	}
+	if d := table.Check(innocent, service, now); d.Ended != 0 {
+		t.Fatalf("servers that went on count as ended: %+v", d)
+	}
 }
 
 // TestTableIsBounded lets many contents lose servers. Quarantined contents leave the
@@ -374,11 +384,11 @@
 func TestTableIsBounded(t *testing.T) {
 	table, now := NewTable(), start
 	for server := range uint32(3) {
-		table.RecordLoss(crashing, service, server, Ended, now, now)
+		lose(table, crashing, server, Ended, now)
 	}
 	for i := range uint64(3 * maxContents) {
 		now = now.Add(time.Millisecond)
-		table.RecordLoss(1000+i, service, uint32(i), Ended, now, now)
+		lose(table, 1000+i, uint32(i), Ended, now)
 	}
 	if contents, _ := table.Size(); contents > maxContents {
 		t.Errorf("%d contents", contents)
@@ -389,7 +399,7 @@
 	for i := range uint64(2 * maxContents) {
 		now = now.Add(time.Millisecond)
 		for server := range uint32(3) {
-			table.RecordLoss(100_000+i, service, server, Ended, now, now)
+			lose(table, 100_000+i, server, Ended, now)
 		}
 	}
 	contents, quarantined := table.Size()
--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -35,11 +35,12 @@
 	// be interrupted too: beyond it, an interruption says nothing about a content.
 	minRateSamples = 4
 	maxOthersLost  = 0.25
-	// restartWindow is the time before the start of a server's process within which
-	// its losses are attributed to the end of the previous process.
-	restartWindow = 30 * time.Second
-	// maxUnresolved bounds the losses that wait for news of their server.
-	maxUnresolved = 4096
+	// startSlack bounds the difference between the clocks of a server and of a VM.
+	startSlack = 500 * time.Millisecond
+	// maxUnresolved bounds the interruptions that wait for news of their server, and
+	// unresolvedTimeout the time for which they wait after Loss.RestartBy.
+	maxUnresolved     = 4096
+	unresolvedTimeout = 30 * time.Second
 	// urgentSends is the number of digests that carry an event of a content with at
 	// least endedWeight. relayedSends is that number for events received from other
 	// VMs and for other contents.
@@ -75,11 +76,19 @@
 	sends int
 }
 
-// unresolved is a loss on a server of which it is unknown whether it ended.
-type unresolved struct {
-	content  uint64
-	server   uint32
-	atMillis int64
+// Loss is an attempt that was lost with its server, or whose answer broke off.
+type Loss struct {
+	Content uint64
+	Service string
+	// Server is the hash of the server's ID.
+	Server uint32
+	// Kind is Ended or Interrupted.
+	Kind Kind
+	At   time.Time
+	// RestartBy is the latest start of a new process of the server which shows that an
+	// interruption was an end. A server that listened at some time either had not
+	// ended or had restarted by then.
+	RestartBy time.Time
 }
 
 // lossRate counts the contents of a service that were answered and those that were
@@ -101,9 +110,10 @@
 	credit          [2]map[uint64]int
 	creditStartedAt time.Time
 	rates           map[string]*lossRate
-	unresolved      []unresolved
-	periods         int
-	offered         uint64
+	// unresolved holds interruptions that may turn out to be ends.
+	unresolved []Loss
+	periods    int
+	offered    uint64
 }
 
 // NewTable returns an empty table.
@@ -216,30 +226,24 @@
 	r.sends = max(r.sends, relayedSends)
 }
 
-// RecordLoss records that a server ended (kind Ended) while it ran the content, or
-// that its answer broke off (kind Interrupted). An interruption does not count while
-// the answers of the service's other contents break off too, but it becomes an end if
-// RecordRestart shows that the server ended. RecordLoss reports whether the loss
-// counted and was new.
-func (t *Table) RecordLoss(content uint64, service string, server uint32, kind Kind, at, now time.Time) bool {
+// RecordLoss records a loss. An interruption does not count while the answers of the
+// service's other contents break off too, but it becomes an end if RecordRestart shows
+// that the server ended. RecordLoss reports whether the loss counted and was new.
+func (t *Table) RecordLoss(l Loss, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addCredit(content, -lossCost, now)
-	if kind == Interrupted {
-		t.rate(service, now).counts[0].lost[content] = true
-		t.addUnresolved(content, server, at)
-		if t.othersAreLost(service, content, now) {
+	t.addCredit(l.Content, -lossCost, now)
+	if l.Kind == Interrupted {
+		t.rate(l.Service, now).counts[0].lost[l.Content] = true
+		if len(t.unresolved) >= maxUnresolved {
+			t.unresolved = t.unresolved[1:]
+		}
+		t.unresolved = append(t.unresolved, l)
+		if t.othersAreLost(l.Service, l.Content, now) {
 			return false
 		}
 	}
-	return t.addEvent(content, Event{Kind: kind, Server: server, AtMillis: at.UnixMilli()}, now)
-}
-
-func (t *Table) addUnresolved(content uint64, server uint32, at time.Time) {
-	if len(t.unresolved) >= maxUnresolved {
-		t.unresolved = t.unresolved[1:]
-	}
-	t.unresolved = append(t.unresolved, unresolved{content, server, at.UnixMilli()})
+	return t.addEvent(l.Content, Event{Kind: l.Kind, Server: l.Server, AtMillis: l.At.UnixMilli()}, now)
 }
 
 func (t *Table) addEvent(content uint64, ev Event, now time.Time) bool {
@@ -260,13 +264,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var contents []uint64
-	t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolved) bool {
-		before := startedAt.UnixMilli() - u.atMillis
-		if u.server != server || before < 0 || before > millis(restartWindow) {
-			return now.UnixMilli()-u.atMillis > millis(2*restartWindow)
+	t.unresolved = slices.DeleteFunc(t.unresolved, func(l Loss) bool {
+		if l.Server != server || startedAt.Before(l.At) || startedAt.After(l.RestartBy.Add(startSlack)) {
+			return now.Sub(l.RestartBy) > unresolvedTimeout
 		}
-		if t.addEvent(u.content, Event{Kind: Ended, Server: server, AtMillis: u.atMillis}, now) {
-			contents = append(contents, u.content)
+		if t.addEvent(l.Content, Event{Kind: Ended, Server: server, AtMillis: l.At.UnixMilli()}, now) {
+			contents = append(contents, l.Content)
 		}
 		return true
 	})
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -24,6 +24,9 @@
 	maxContentsPerWrite = 256
 	// maxDigestContents bounds the request contents in a digest.
 	maxDigestContents = 8
+	// maxServerDowntime is the time after a loss within which a new process of a server
+	// that did not answer shows that it had ended.
+	maxServerDowntime = 30 * time.Second
 	// trialClaimTimeout bounds the calls to the store that a trial needs.
 	trialClaimTimeout = 500 * time.Millisecond
 	// contentsCleanupInterval is the interval at which the lease holder deletes
@@ -138,16 +141,18 @@
 // that was leaving, does not count.
 func (z *quarantiner) recordLoss(b *backend, l loss, state serverState) {
 	n, now := z.node, z.now()
-	at := now.Add(-n.now().Sub(l.at))
-	counted := "no"
+	lost := quarantine.Loss{Content: l.content, Service: b.service, Server: b.shortHash, At: now.Add(-n.now().Sub(l.at))}
 	switch {
 	case state == serverEnded:
-		z.table.RecordLoss(l.content, b.service, b.shortHash, quarantine.Ended, at, now)
-		counted = quarantine.Ended.String()
-	case state == serverUnknown, state == serverListening && l.disconnected:
-		if z.table.RecordLoss(l.content, b.service, b.shortHash, quarantine.Interrupted, at, now) {
-			counted = quarantine.Interrupted.String()
-		}
+		lost.Kind = quarantine.Ended
+	case state == serverUnknown:
+		lost.Kind, lost.RestartBy = quarantine.Interrupted, now.Add(maxServerDowntime)
+	case state == serverListening && l.disconnected:
+		lost.Kind, lost.RestartBy = quarantine.Interrupted, now
+	}
+	counted := "no"
+	if lost.Kind != 0 && z.table.RecordLoss(lost, now) {
+		counted = lost.Kind.String()
 	}
 	d := z.table.Check(l.content, b.service, now)
 	n.log.Failure("content", "lost", "content", contentName(l.content), "id", l.requestID, "server", b.id, "outcome", l.outcome.String(),
