quarantine: losses hours apart added up

An entry was forgotten an hour after its last event, so a content that ran now and then and was three times on a server that ended for other reasons, less than an hour apart each, was refused for a loss of hours ago (found by reading; TestRareLossesAddUp: refused at the third loss, 80 minutes after the first). Each event is now forgotten after an hour.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -87,7 +87,7 @@
 	trialPasses = 2
 	// trialTimeout is the time after which a trial without a result counts as failed.
 	trialTimeout = 30 * time.Second
-	// Retention is the time after the last event at which an entry is forgotten.
+	// Retention is the time after which an event is forgotten.
 	Retention = time.Hour
 	// maxClockSkew bounds how far in the future an event may lie.
 	maxClockSkew = 10 * time.Second
@@ -181,11 +181,17 @@
 	return 0
 }
 
-// IsExpired reports whether the entry is forgotten.
-func (e *Entry) IsExpired(now time.Time) bool { return e.isExpired(now.UnixMilli()) }
+// IsExpired reports whether all events of the entry are forgotten.
+func (e *Entry) IsExpired(now time.Time) bool {
+	return now.UnixMilli()-e.lastAtMillis() > millis(Retention)
+}
 
-func (e *Entry) isExpired(nowMillis int64) bool {
-	return nowMillis-e.lastAtMillis() > millis(Retention)
+// dropExpired drops events past their retention, and reports whether there were any.
+func (e *Entry) dropExpired(nowMillis int64) bool {
+	kept := slices.DeleteFunc(e.Events, func(ev Event) bool { return nowMillis-ev.AtMillis > millis(Retention) })
+	dropped := len(kept) < len(e.Events)
+	e.Events = kept
+	return dropped
 }
 
 // lossCounts are the losses of an entry by kind, and the number of different
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -354,6 +354,19 @@
 	}
 }
 
+// TestRareLossesAddUp: a content that runs now and then happens to be on a server that
+// ends, once in 40 minutes.
+func TestRareLossesAddUp(t *testing.T) {
+	table, now := NewTable(), start
+	for server := range uint32(10) {
+		lose(table, innocent, server, Ended, now)
+		if d := table.Check(innocent, service, now); d.Refused {
+			t.Fatalf("refused after loss %d: %+v", server, d)
+		}
+		now = now.Add(40 * time.Minute)
+	}
+}
+
 func TestRestartConfirmsInterruption(t *testing.T) {
 	table, now := NewTable(), start
 	for server := range uint32(3) {
--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -144,13 +144,18 @@
 	return t.creditOf(r.Content, now) >= innocentCredit || now.UnixMilli()-r.VouchedMillis <= millis(vouchPeriod)
 }
 
-// record returns the record of a content, or nil if there is none.
+// record returns the record of a content without expired events, or nil if there is
+// none.
 func (t *Table) record(content uint64, now time.Time) *record {
 	r := t.records[content]
-	if r != nil && r.isExpired(now.UnixMilli()) {
+	if r == nil || !r.dropExpired(now.UnixMilli()) {
+		return r
+	}
+	if len(r.Events) == 0 {
 		delete(t.records, content)
 		return nil
 	}
+	r.updateWeight()
 	return r
 }
 
@@ -195,10 +200,14 @@
 // which interruptions count.
 func (r *record) isHeavy() bool { return r.weight >= quarantineWeight || r.Generation > 0 }
 
-// update follows a change of the entry.
-func (r *record) update(source string, sends int) {
+func (r *record) updateWeight() {
 	c := r.losses()
 	r.weight = min(c.ended*endedWeight+c.interrupted*interruptedWeight, quarantineWeight)
+}
+
+// update follows a change of the entry.
+func (r *record) update(source string, sends int) {
+	r.updateWeight()
 	if r.weight < endedWeight && r.Generation == 0 {
 		sends = min(sends, relayedSends)
 	}
@@ -424,15 +433,15 @@
 
 // Unstored returns the entries that this VM has to write to the store: those with
 // own events that the store lacks, if the content is or was quarantined or isolated
-// is set. Innocent contents are left out. If forOthers is set, it also returns the quarantined contents that no VM
-// has stored relayDelay after the last event.
+// is set. If forOthers is set, it also returns the quarantined contents that no VM
+// has stored relayDelay after the last event. Innocent contents are left out.
 func (t *Table) Unstored(isolated, forOthers bool, now time.Time) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Entry
 	for _, r := range t.records {
 		nowMillis := now.UnixMilli()
-		if r.isExpired(nowMillis) || t.isInnocent(r, now) {
+		if t.isInnocent(r, now) {
 			continue
 		}
 		overdue := forOthers && !r.Stored && nowMillis-r.lastAtMillis() > millis(relayDelay)
@@ -474,7 +483,7 @@
 	return len(t.records), quarantined
 }
 
-// Sweep deletes expired entries.
+// Sweep drops expired events.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -367,7 +366,7 @@
 		z.node.log.Failure("content", "not-cleaned-up", "error", err)
 		return
 	}
-	z.node.log.Event("content", "cleaned-up", "deleted", strconv.Itoa(len(records)))
+	z.node.log.Event("content", "cleaned-up", "deleted", len(records))
 }
 
 // sweep removes expired entries and updates the gauges.
