admission: a long request that is too late waited behind a short one

Callers got their rejection late: Expire looked only at the earliest deadline of each flow, so a request whose answer takes longer, behind one with an earlier deadline, stayed in the queue when it could no longer be answered, and could start then. A second heap, by the latest start, finds it. TestLongRequestExpiresBehindShortOne failed before.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -32,8 +32,16 @@
 
 	// sequence is the request's sequence number in the queue.
 	sequence uint64
+	// flow holds the request. flowIndex and expiryIndex are its indexes in the heaps
+	// of the flow and of the queue.
+	flow                   *flow
+	flowIndex, expiryIndex int
 }
 
+// latestStart is the latest time at which the request may start to be answered before
+// its deadline.
+func (i *Item) latestStart() time.Time { return i.Deadline.Add(-i.ServiceTime) }
+
 // PushResult is the result of Queue.Push: Accepted, or the reason for which the
 // request is rejected. A rejected request has not run.
 type PushResult int
@@ -80,6 +88,8 @@
 	// virtualTime is the start tag of the class served last.
 	virtualTime float64
 	length      int
+	// expiry holds all waiting requests.
+	expiry expiryHeap
 	// lastSequence is the sequence number of the last request accepted.
 	lastSequence uint64
 }
@@ -125,8 +135,15 @@
 	}
 	return h[i].sequence < h[j].sequence
 }
-func (h itemHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *itemHeap) Push(x any)   { *h = append(*h, x.(*Item)) }
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].flowIndex, h[j].flowIndex = i, j
+}
+func (h *itemHeap) Push(x any) {
+	item := x.(*Item)
+	item.flowIndex = len(*h)
+	*h = append(*h, item)
+}
 func (h *itemHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
@@ -134,6 +151,27 @@
 	return last
 }
 
+// expiryHeap is a heap of requests with the earliest latest start first.
+type expiryHeap []*Item
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].latestStart().Before(h[j].latestStart()) }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiryIndex, h[j].expiryIndex = i, j
+}
+func (h *expiryHeap) Push(x any) {
+	item := x.(*Item)
+	item.expiryIndex = len(*h)
+	*h = append(*h, item)
+}
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
 // NewQueue returns an empty queue.
 func NewQueue(cfg QueueConfig) *Queue {
 	q := &Queue{cfg: cfg}
@@ -173,7 +211,9 @@
 		f.finishTag = max(f.finishTag, c.virtualTime)
 		c.active = append(c.active, f)
 	}
+	item.flow = f
 	heap.Push(&f.items, item)
+	heap.Push(&q.expiry, item)
 	c.waitingCost += item.Cost
 	q.length++
 	return Accepted, 0
@@ -221,7 +261,7 @@
 		if !mayStart(f.items[0]) {
 			continue
 		}
-		item := heap.Pop(&f.items).(*Item)
+		item := f.items[0]
 		q.charge(class, f, item)
 		return item
 	}
@@ -262,12 +302,15 @@
 	c.finishTag += item.Cost / q.cfg.Shares[class]
 	c.virtualTime = max(c.virtualTime, f.finishTag)
 	f.finishTag += item.Cost / max(item.Weight, 1)
-	q.remove(c, f, item)
+	q.remove(item)
 	c.startedCost += item.Cost
 }
 
-// remove updates the queue's sums after item was removed from the heap of f.
-func (q *Queue) remove(c *classQueue, f *flow, item *Item) {
+// remove removes a request from the heaps and from the queue's sums.
+func (q *Queue) remove(item *Item) {
+	c, f := &q.classes[item.Class], item.flow
+	heap.Remove(&f.items, item.flowIndex)
+	heap.Remove(&q.expiry, item.expiryIndex)
 	c.waitingCost -= item.Cost
 	q.length--
 	if len(f.items) > 0 {
@@ -289,19 +332,10 @@
 // their deadline.
 func (q *Queue) Expire(now time.Time) []*Item {
 	var out []*Item
-	for i := range q.classes {
-		c := &q.classes[i]
-		for j := 0; j < len(c.active); j++ {
-			f := c.active[j]
-			for len(f.items) > 0 && now.Add(f.items[0].ServiceTime).After(f.items[0].Deadline) {
-				item := heap.Pop(&f.items).(*Item)
-				q.remove(c, f, item)
-				out = append(out, item)
-			}
-			if len(f.items) == 0 {
-				j--
-			}
-		}
+	for len(q.expiry) > 0 && now.After(q.expiry[0].latestStart()) {
+		item := q.expiry[0]
+		q.remove(item)
+		out = append(out, item)
 	}
 	return out
 }
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -18,6 +18,23 @@
 
 func always(*Item) bool { return true }
 
+// TestLongRequestExpiresBehindShortOne: the request with the later deadline has to start
+// first, because its answer takes longer.
+func TestLongRequestExpiresBehindShortOne(t *testing.T) {
+	q := newTestQueue()
+	short, long := newItem("a", Normal, 1), newItem("a", Normal, 1)
+	short.Deadline, short.ServiceTime = testStart.Add(3*time.Second), 100*time.Millisecond
+	long.Deadline, long.ServiceTime = testStart.Add(4*time.Second), 3*time.Second
+	mustPush(t, q, short)
+	mustPush(t, q, long)
+	if out := q.Expire(testStart.Add(2 * time.Second)); len(out) != 1 || out[0] != long {
+		t.Fatalf("%d requests expired, want the long one", len(out))
+	}
+	if got := q.Pop(testStart.Add(2*time.Second), always); got != short || q.Len() != 0 {
+		t.Fatalf("got %+v, %d requests left", got, q.Len())
+	}
+}
+
 func mustPush(t *testing.T, q *Queue, i *Item) {
 	t.Helper()
 	if reason, _ := q.Push(i, testStart); reason != Accepted {
