coordinator: a status request during the start got no answer

The admin server accepted requests before the lease loop existed; the handler failed and its caller waited until its timeout. The lease loop is created before the server starts. TestStatusRequestDuringStartPanics: no answer in 10 s before, 200 now.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,7 +63,6 @@
 		c.Close()
 		return nil, err
 	}
-	c.leases = newLeaseLoop(c.settings, control.Holder{VM: settings.VM, PeerAddress: c.advertisedPeerAddress()}, deps.Log, c.clock, c.replay)
 	source := peer.StateSource{Pool: c.peerPool, Cloud: deps.Cloud, SelfAddress: c.PeerAddress()}
 	c.replay.UsePeers(c.clock, source.States)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -106,6 +105,8 @@
 	if err != nil {
 		return err
 	}
+	// The admin handlers use the lease loop.
+	c.leases = newLeaseLoop(c.settings, control.Holder{VM: c.settings.VM, PeerAddress: c.advertisedPeerAddress()}, c.deps.Log, c.clock, c.replay)
 	c.metricsServer, err = metrics.Serve(c.settings.MetricsListen, c.registry, c.follower.CaughtUp)
 	if err != nil {
 		return err
