quarantine: losses counted on although the content was answered later

A vouch now carries the time of the VM's last answer, and losses up to then no longer count. It also no longer covers losses that come after that answer, so a content that turns bad is found when its answers stop.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -59,8 +59,8 @@
 	Generation uint32
 	// Stored is true if the store holds a quarantine of this generation.
 	Stored bool
-	// VouchedMillis is the Unix time in milliseconds at which a VM last vouched for
-	// the content, because servers answer it there. 0 means never.
+	// VouchedMillis is the Unix time in milliseconds of the last answer with which a
+	// VM vouched for the content. Losses up to then do not count. 0 means never.
 	VouchedMillis int64
 	Events        []Event
 }
@@ -198,12 +198,13 @@
 // servers.
 type lossCounts struct{ ended, interrupted, servers int }
 
-// losses counts the losses of a server within sameLossWindow as one: several VMs, and
-// several requests of one VM, observe the same loss.
+// losses returns the losses since a VM last vouched for the content. Those of a server
+// within sameLossWindow count as one: several VMs, and several requests of one VM,
+// observe the same loss.
 func (e *Entry) losses() lossCounts {
 	var counted []Event
 	for _, ev := range e.Events {
-		if !ev.isLoss() {
+		if !ev.isLoss() || ev.AtMillis <= e.VouchedMillis {
 			continue
 		}
 		same := slices.IndexFunc(counted, func(x Event) bool {
--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -17,15 +17,15 @@
 	// recentPeriod is the time after which the older half of the recently served
 	// contents is dropped.
 	recentPeriod = 15 * time.Second
-	// innocentCredit is the credit from which a content is not quarantined on this
-	// VM. Each answer adds 1, up to maxCredit, and each loss subtracts lossCost.
-	// Such a VM vouches for the content.
+	// innocentCredit is the credit from which a VM vouches for a content. Each answer
+	// adds 1, up to maxCredit, and each loss subtracts lossCost.
 	innocentCredit = 8
 	maxCredit      = 32
 	minCredit      = -12
 	lossCost       = 3
-	// vouchPeriod is the time for which a content is not quarantined on any VM after a
-	// VM vouched for it, vouchInterval the interval at which that VM repeats it.
+	// vouchPeriod is the time for which a content is not quarantined after an answer
+	// with which a VM vouched for it, vouchInterval the minimum time between two such
+	// answers that it reports.
 	vouchPeriod   = 10 * time.Second
 	vouchInterval = 2 * time.Second
 	// ratePeriod is half of the time over which the losses of a service's other
@@ -106,19 +106,25 @@
 type Table struct {
 	mu      sync.Mutex
 	records map[uint64]*record
-	// credit holds the credit of recently served contents in two halves, by age.
-	credit          [2]map[uint64]int
-	creditStartedAt time.Time
-	rates           map[string]*lossRate
+	// credits holds the credits of recently served contents in two halves, by age.
+	credits          [2]map[uint64]credit
+	creditsStartedAt time.Time
+	rates            map[string]*lossRate
 	// unresolved holds interruptions that may turn out to be ends.
 	unresolved []Loss
 	periods    int
 	offered    uint64
 }
 
+// credit is the credit of a content, with the time of its last answer.
+type credit struct {
+	value          int
+	answeredMillis int64
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[uint64]*record{}, credit: [2]map[uint64]int{{}, {}}, rates: map[string]*lossRate{}}
+	return &Table{records: map[uint64]*record{}, credits: [2]map[uint64]credit{{}, {}}, rates: map[string]*lossRate{}}
 }
 
 // Check decides whether a content may be sent to a server of the service.
@@ -141,7 +147,11 @@
 // isInnocent reports whether servers answer the content, on this VM or on one that
 // has vouched for it.
 func (t *Table) isInnocent(r *record, now time.Time) bool {
-	return t.creditOf(r.Content, now) >= innocentCredit || now.UnixMilli()-r.VouchedMillis <= millis(vouchPeriod)
+	vouched := r.VouchedMillis
+	if c := t.creditOf(r.Content, now); c.value >= innocentCredit {
+		vouched = max(vouched, c.answeredMillis)
+	}
+	return now.UnixMilli()-vouched <= millis(vouchPeriod)
 }
 
 // record returns the record of a content without expired events, or nil if there is
@@ -220,18 +230,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addCredit(content, 1, now)
+	t.credits[0][content] = credit{t.credits[0][content].value, now.UnixMilli()}
 	t.rate(service, now).counts[0].answered++
 	if r := t.record(content, now); r != nil {
 		t.vouch(r, now)
 	}
 }
 
-// vouch vouches for a content with enough credit, at most once in vouchInterval.
+// vouch vouches for a content that has enough credit.
 func (t *Table) vouch(r *record, now time.Time) {
-	if t.creditOf(r.Content, now) < innocentCredit || now.UnixMilli()-r.VouchedMillis < millis(vouchInterval) {
+	c := t.creditOf(r.Content, now)
+	if c.value < innocentCredit || c.answeredMillis-r.VouchedMillis < millis(vouchInterval) {
 		return
 	}
-	r.VouchedMillis = now.UnixMilli()
+	r.VouchedMillis = c.answeredMillis
+	r.updateWeight()
 	r.sends = max(r.sends, relayedSends)
 }
 
@@ -493,29 +506,30 @@
 }
 
 func (t *Table) addCredit(content uint64, change int, now time.Time) {
-	credit := min(max(t.creditOf(content, now)+change, minCredit), maxCredit)
-	if _, ok := t.credit[0][content]; !ok && len(t.credit[0]) >= maxRecent {
-		t.rotateCredit(now)
+	c := t.creditOf(content, now)
+	c.value = min(max(c.value+change, minCredit), maxCredit)
+	if _, ok := t.credits[0][content]; !ok && len(t.credits[0]) >= maxRecent {
+		t.rotateCredits(now)
 	}
-	t.credit[0][content] = credit
+	t.credits[0][content] = c
 }
 
-func (t *Table) rotateCredit(now time.Time) {
-	t.credit = [2]map[uint64]int{{}, t.credit[0]}
-	t.creditStartedAt = now
+func (t *Table) rotateCredits(now time.Time) {
+	t.credits = [2]map[uint64]credit{{}, t.credits[0]}
+	t.creditsStartedAt = now
 }
 
-func (t *Table) creditOf(content uint64, now time.Time) int {
-	if now.Sub(t.creditStartedAt) > recentPeriod {
-		if now.Sub(t.creditStartedAt) > 2*recentPeriod {
-			t.credit[0] = map[uint64]int{}
+func (t *Table) creditOf(content uint64, now time.Time) credit {
+	if now.Sub(t.creditsStartedAt) > recentPeriod {
+		if now.Sub(t.creditsStartedAt) > 2*recentPeriod {
+			t.credits[0] = map[uint64]credit{}
 		}
-		t.rotateCredit(now)
+		t.rotateCredits(now)
 	}
-	if c, ok := t.credit[0][content]; ok {
+	if c, ok := t.credits[0][content]; ok {
 		return c
 	}
-	return t.credit[1][content]
+	return t.credits[1][content]
 }
 
 func (t *Table) rate(service string, now time.Time) *lossRate {
