httpserver: a lost barrier connection delayed all callers

Found by reading: if the server's own connection went silent, each accept waited for the timeout, and a reset one gave a warning for each connection and no barrier. The barrier opens another connection in the background now, and the accept loop goes on without it until then.

--- a/internal/transport/httpserver/barrier.go
+++ b/internal/transport/httpserver/barrier.go
@@ -10,8 +10,12 @@
 	"k8s.io/klog/v2"
 )
 
-// barrierTimeout bounds the wait for the read loop.
-const barrierTimeout = time.Second
+const (
+	// barrierTimeout bounds the wait for the read loop.
+	barrierTimeout = 500 * time.Millisecond
+	// reopenPause is the pause between attempts to open the barrier again.
+	reopenPause = time.Second
+)
 
 // barrier waits for the library's read loop by sending it a byte over a connection
 // of its own. The loop handles events in batches. Once it has received the byte, it
@@ -27,6 +31,8 @@
 	address string
 	server  *nbio.Conn
 	isOpen  bool
+	// isClosed is set once the server is closed.
+	isClosed bool
 }
 
 func newBarrier() *barrier { return &barrier{passed: make(chan struct{}, 1)} }
@@ -34,14 +40,23 @@
 // open connects to the server's own address and waits until the read loop has
 // received a byte.
 func (b *barrier) open(address string) error {
+	if b.closed() {
+		return nil
+	}
 	conn, err := net.DialTimeout("tcp", address, startTimeout)
 	if err != nil {
 		return errors.Wrapf(err, "connect to own address %s", address)
 	}
 	b.mu.Lock()
-	b.client, b.address = conn, conn.LocalAddr().String()
+	if b.isClosed {
+		b.mu.Unlock()
+		_ = conn.Close()
+		return nil
+	}
+	b.client, b.address, b.server = conn, conn.LocalAddr().String(), nil
 	b.mu.Unlock()
 	if !b.await(startTimeout) {
+		_ = conn.Close()
 		return errors.Newf("read loop did not handle the connection to own address %s", address)
 	}
 	b.mu.Lock()
@@ -50,6 +65,32 @@
 	return nil
 }
 
+func (b *barrier) closed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isClosed
+}
+
+// reopen replaces a connection that has failed. It must not block the accept loop,
+// which accepts the new connection.
+func (b *barrier) reopen() {
+	b.mu.Lock()
+	b.isOpen = false
+	client := b.client
+	b.mu.Unlock()
+	_ = client.Close()
+	go func() {
+		for {
+			err := b.open(client.RemoteAddr().String())
+			if err == nil {
+				return
+			}
+			klog.Warningf("httpserver: barrier is not open: %v", err)
+			time.Sleep(reopenPause)
+		}
+	}()
+}
+
 // await sends a byte and reports whether the read loop received it in time.
 func (b *barrier) await(timeout time.Duration) bool {
 	b.mu.Lock()
@@ -72,14 +113,15 @@
 	}
 }
 
-// awaitOrLog is await with barrierTimeout, once the barrier is open. Without the
-// barrier, a connection may be closed before its first request is read.
-func (b *barrier) awaitOrLog() {
+// awaitOrReopen is await with barrierTimeout. Until the barrier is open, and if it
+// fails, a connection may be closed before its first request is read.
+func (b *barrier) awaitOrReopen() {
 	b.mu.Lock()
 	isOpen := b.isOpen
 	b.mu.Unlock()
 	if isOpen && !b.await(barrierTimeout) {
 		klog.Warningf("httpserver: read loop did not pass the barrier within %v", barrierTimeout)
+		b.reopen()
 	}
 }
 
@@ -106,7 +148,7 @@
 func (b *barrier) close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.isOpen = false
+	b.isOpen, b.isClosed = false, true
 	if b.client != nil {
 		_ = b.client.Close()
 	}
--- a/internal/transport/httpserver/httpserver.go
+++ b/internal/transport/httpserver/httpserver.go
@@ -79,7 +79,7 @@
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Address)
 	}
 	barrier := newBarrier()
-	listener := newListener(inner, barrier.awaitOrLog)
+	listener := newListener(inner, barrier.awaitOrReopen)
 	s := &Server{
 		listener: listener, barrier: barrier, stopped: make(chan struct{}), conns: map[*nbio.Conn]*connState{},
 		limits: Limits{HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout}, onReject: cfg.OnReject,
--- a/internal/transport/httpserver/listener_test.go
+++ b/internal/transport/httpserver/listener_test.go
@@ -93,3 +93,31 @@
 		t.Fatalf("accepted a %T after %d barriers", conn, barriers)
 	}
 }
+
+// TestLostBarrierDelaysAllConnections closes the server's own connection. The barrier
+// opens another one.
+func TestLostBarrierDelaysAllConnections(t *testing.T) {
+	s := startServer(t, Config{}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	first := s.barrier.client
+	_ = first.Close()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		resp, err := client.Get("http://" + s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		s.barrier.mu.Lock()
+		reopened := s.barrier.isOpen && s.barrier.client != first
+		s.barrier.mu.Unlock()
+		if reopened {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the barrier was not opened again")
+		}
+	}
+	if !s.barrier.await(testTimeout) {
+		t.Error("the read loop does not pass the new barrier")
+	}
+}
