--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -185,30 +185,30 @@
 	order := func(a, b *record) int {
 		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.lastAtMillis(), b.lastAtMillis()), cmp.Compare(a.Content, b.Content))
 	}
-	var lightest, oldest *record
-	light := 0
+	var leastSuspicious, oldest *record
+	others := 0
 	for _, r := range t.records {
-		if r.isHeavy() {
+		if r.isOrWasQuarantined() {
 			if oldest == nil || order(r, oldest) < 0 {
 				oldest = r
 			}
 			continue
 		}
-		light++
-		if lightest == nil || order(r, lightest) < 0 {
-			lightest = r
+		others++
+		if leastSuspicious == nil || order(r, leastSuspicious) < 0 {
+			leastSuspicious = r
 		}
 	}
-	victim := lightest
-	if light < maxContents/2 && oldest != nil {
+	victim := leastSuspicious
+	if others < maxContents/2 && oldest != nil {
 		victim = oldest
 	}
 	delete(t.records, victim.Content)
 }
 
-// isHeavy reports whether the content is or was quarantined, perhaps only on VMs on
+// isOrWasQuarantined reports whether the content is or was quarantined, perhaps only on VMs on
 // which interruptions count.
-func (r *record) isHeavy() bool { return r.weight >= quarantineWeight || r.Generation > 0 }
+func (r *record) isOrWasQuarantined() bool { return r.weight >= quarantineWeight || r.Generation > 0 }
 
 func (r *record) updateWeight() {
 	c := r.losses()
@@ -415,7 +415,7 @@
 func (t *Table) nextOffer() *record {
 	var next, first *record
 	for _, r := range t.records {
-		if !r.isHeavy() {
+		if !r.isOrWasQuarantined() {
 			continue
 		}
 		if first == nil || r.Content < first.Content {
@@ -458,7 +458,7 @@
 			continue
 		}
 		overdue := forOthers && !r.Stored && nowMillis-r.lastAtMillis() > millis(relayDelay)
-		if r.unwritten && isolated || (r.unwritten || overdue) && r.isHeavy() {
+		if r.unwritten && isolated || (r.unwritten || overdue) && r.isOrWasQuarantined() {
 			out = append(out, r.clone())
 		}
 	}
@@ -476,7 +476,7 @@
 			continue
 		}
 		r.unwritten = false
-		if r.isHeavy() && !r.Stored {
+		if r.isOrWasQuarantined() && !r.Stored {
 			r.Stored = true
 			r.sends = max(r.sends, relayedSends)
 		}
