--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -18,6 +18,7 @@
 // receive processes the server's answer and forwards it to the caller.
 func (a *attempt) receive(answer *upstream.Answer) attemptOutcome {
 	q, n := a.q, a.q.node
+	q.framing, q.partialEventBytes = answer.Framing(), 0
 	head := platform.DecodeAnswer(answer.Status, answer.Header)
 	if head.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,6 +45,10 @@
 	// attempt was expected to prefill.
 	uncachedTokens float64
 	lastServer     string
+	// framing is that of the last answer, and partialEventBytes the number of bytes
+	// received after its last complete event.
+	framing           string
+	partialEventBytes int
 	// isTrial is set if the request is a trial of a quarantined request content. It
 	// is sent to one server only.
 	isTrial bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -69,6 +69,9 @@
 	first := true
 	for {
 		ev, err := readEvent(reader)
+		if err != nil {
+			q.partialEventBytes = len(ev.raw)
+		}
 		if errors.Is(err, io.EOF) {
 			answer.Close(true)
 			return a.finishStream(answer, first)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -246,6 +246,18 @@
 	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
 }
 
+// Framing names the way in which the end of the answer's body is marked: "length",
+// "chunks", or "none" if the body ends with its connection.
+func (a *Answer) Framing() string {
+	switch {
+	case len(a.resp.TransferEncoding) > 0:
+		return "chunks"
+	case a.resp.ContentLength >= 0:
+		return "length"
+	}
+	return "none"
+}
+
 // Close releases the connection of the answer. complete states that the body
 // was read to its end; the connection is then kept for reuse if the request was
 // completely written and the answer permits it. Further calls have no effect.
