--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -286,11 +286,11 @@
 		n := f.startNode("vm-1", 2)
 		for i := range 8 {
 			if got := do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: fmt.Sprint("id-", i)}); got.status != http.StatusOK || got.header.Get("Coltsfootpath-Engine-Seal") != "seal-good" {
-				t.Errorf("behavior %d: %+v", e, got)
+				t.Errorf("behavior %+v: %+v", e, got)
 			}
 		}
 		if len(good.Runs()) != 8 {
-			t.Errorf("behavior %d: %d runs at the good server, %d at the bad one", e, len(good.Runs()), len(bad.Runs()))
+			t.Errorf("behavior %+v: %d runs at the good server, %d at the bad one", e, len(good.Runs()), len(bad.Runs()))
 		}
 	}
 }
@@ -328,14 +328,14 @@
 		n := f.startNode("vm-1", 2)
 		got := do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-1", body: "x"})
 		if runs := len(a.Runs()) + len(b.Runs()); runs != 1 {
-			t.Errorf("behavior %d: %d runs, want 1", e, runs)
+			t.Errorf("behavior %+v: %d runs, want 1", e, runs)
 		}
 		want := http.StatusBadGateway
 		if e == platformtest.ServerError {
 			want = http.StatusInternalServerError
 		}
 		if got.status != want {
-			t.Errorf("behavior %d: %+v", e, got)
+			t.Errorf("behavior %+v: %+v", e, got)
 		}
 	}
 }
