gateway: a stream whose connection ended inside an event looked complete

Cause: the end of a stream was taken from the kind of an error. readEvent wrapped the error of an incomplete event, which is io.EOF if the answer has neither a length nor chunks, and receiveStream took every error that is io.EOF for the end between two events.

Change: upstream.Answer records how the end of its body was recognized (framed, or an orderly close without framing); no caller derives it from an error. A stream is complete only if that end was seen and no bytes of an event are left over; otherwise it is a lost attempt as any other: resumed where allowed, counted in health and in the losses of the content, and the caller's connection is closed. A connection is kept only if the framed end was seen; the rejections of servers used to be read up to a limit and their connections kept.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -21,8 +21,10 @@
 	q.framing, q.partialEventBytes = answer.Framing(), 0
 	head := platform.DecodeAnswer(answer.Status, answer.Header)
 	if head.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes))
-		answer.Close(err == nil)
+		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes)); err != nil {
+			n.log.Failure("attempt", "not-run-cut", "id", q.call.ID, "server", a.placed.server.id, "error", err)
+		}
+		answer.Close()
 		n.backends.recordFull(a.placed, q.call.Parts, n.now())
 		n.log.Event("attempt", "not-run", "id", q.call.ID, "server", a.placed.server.id, "status", answer.Status)
 		return outcomeNotRun
@@ -40,11 +42,13 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	now := n.now()
 	q.countUsage(now)
-	if err != nil || len(body) > maxAnswerBytes {
-		answer.Close(false)
-		return a.handleLost(errors.Newf("answer is incomplete or too large after %d bytes: %v", len(body), err))
+	answer.Close()
+	if err != nil {
+		return a.handleLost(errors.Wrapf(err, "answer is incomplete after %d bytes", len(body)))
+	}
+	if answer.End() == upstream.EndNotSeen {
+		return a.handleLost(errors.Newf("answer exceeds %d bytes", maxAnswerBytes))
 	}
-	answer.Close(true)
 	if answer.Status/100 == 2 && !head.Sealed {
 		return a.handleLost(errors.Newf("success answer has no seal"))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,23 +25,21 @@
 	id  int64
 }
 
-// readEvent reads the next event. It returns io.EOF if the stream ends between
-// two events, and another error if it ends within one.
+// readEvent reads the next event. If the stream ends, it returns an error and the bytes
+// of the incomplete event, none if the stream ends between two events.
 func readEvent(r *bufio.Reader) (event, error) {
 	ev := event{id: -1}
 	for {
 		line, err := r.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(ev.raw) > maxEventBytes {
-				return ev, errors.Newf("event exceeds %d bytes", maxEventBytes)
-			}
+		if len(ev.raw) > maxEventBytes {
+			return ev, errors.Newf("event exceeds %d bytes", maxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
-		case errors.Is(err, io.EOF) && len(ev.raw) == 0:
-			return ev, io.EOF
-		case err != nil:
-			return ev, errors.Wrapf(err, "event is incomplete after %d bytes", len(ev.raw))
+		}
+		if err != nil {
+			return ev, err
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return ev, nil
@@ -51,17 +49,17 @@
 				ev.id = id
 			}
 		}
-		if len(ev.raw) > maxEventBytes {
-			return ev, errors.Newf("event exceeds %d bytes", maxEventBytes)
-		}
 	}
 }
 
+// errEndInEvent means that a stream ended inside an event.
+var errEndInEvent = errors.Wrap(io.ErrUnexpectedEOF, "stream ended inside an event")
+
 // receiveStream forwards the events of an answer as they arrive.
 func (a *attempt) receiveStream(answer *upstream.Answer, sealed bool) attemptOutcome {
 	q, n := a.q, a.q.node
 	if !sealed {
-		answer.Close(false)
+		answer.Close()
 		q.countUsage(n.now())
 		return a.handleLost(errors.New("stream answer has no seal"))
 	}
@@ -71,17 +69,7 @@
 		ev, err := readEvent(reader)
 		if err != nil {
 			q.partialEventBytes = len(ev.raw)
-		}
-		if errors.Is(err, io.EOF) {
-			answer.Close(true)
-			return a.finishStream(answer, first)
-		}
-		if err != nil {
-			answer.Close(false)
-			if first {
-				q.countUsage(n.now())
-			}
-			return a.handleLost(err)
+			return a.endStream(answer, err, first)
 		}
 		if first {
 			first = false
@@ -93,11 +81,11 @@
 			continue
 		}
 		if ev.id >= 0 && q.lastEventID >= 0 && ev.id != q.lastEventID+1 {
-			answer.Close(false)
+			answer.Close()
 			return a.handleLost(errors.Newf("event %d received after event %d", ev.id, q.lastEventID))
 		}
 		if err := q.forwardEvent(answer, ev); err != nil {
-			answer.Close(false)
+			answer.Close()
 			return outcomeCallerLeft
 		}
 	}
@@ -140,12 +128,28 @@
 	q.w.WriteHeader(answer.Status)
 }
 
-// finishStream ends the request after a stream that ended between two events.
-func (a *attempt) finishStream(answer *upstream.Answer, empty bool) attemptOutcome {
+// endStream handles the end of a stream, which readEvent reported as err. The stream is
+// complete only if the end of the answer was seen between two events.
+func (a *attempt) endStream(answer *upstream.Answer, err error, empty bool) attemptOutcome {
 	q := a.q
-	if empty && !answer.Delimited() {
-		return a.handleLost(errors.New("stream ended without a length or an event"))
+	answer.Close()
+	switch {
+	case answer.End() == upstream.EndNotSeen:
+	case q.partialEventBytes > 0:
+		err = errEndInEvent
+	case empty && answer.End() == upstream.EndOfConnection:
+		err = errors.New("stream ended without a length or an event")
+	default:
+		return q.finishStream(answer)
+	}
+	if empty {
+		q.countUsage(q.node.now())
 	}
+	return a.handleLost(errors.Wrapf(err, "%d bytes after the last event", q.partialEventBytes))
+}
+
+// finishStream ends the answer to the caller after a complete stream.
+func (q *request) finishStream(answer *upstream.Answer) attemptOutcome {
 	q.recordAnswer()
 	if !q.headSent {
 		q.sendHead(answer)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -161,6 +161,8 @@
 	// OnNewConnection is true if the connection was opened for this request.
 	OnNewConnection bool
 
+	// end is written by Body.
+	end        End
 	pool       *Pool
 	conn       *conn
 	resp       *http.Response
@@ -169,6 +171,42 @@
 	closeOnce  sync.Once
 }
 
+// End states how the end of an answer was recognized.
+type End int
+
+const (
+	// EndNotSeen means that the answer has not been read to its end.
+	EndNotSeen End = iota
+	// EndFramed means that the length in the head, or the last chunk with its
+	// trailer, has been read.
+	EndFramed
+	// EndOfConnection means that the answer has no framing, and that the server has
+	// closed the connection in an orderly way.
+	EndOfConnection
+)
+
+// End returns how the end of the answer was recognized by the last read of Body.
+func (a *Answer) End() End { return a.end }
+
+// body reads the body of an answer and records its end.
+type body struct {
+	answer *Answer
+	inner  io.Reader
+}
+
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.inner.Read(p)
+	// The standard library returns this very error for the end only, and others
+	// for a connection that ends too early.
+	if err == io.EOF {
+		b.answer.end = EndFramed
+		if b.answer.Framing() == "none" && b.inner != http.NoBody {
+			b.answer.end = EndOfConnection
+		}
+	}
+	return n, err
+}
+
 // Do sends the request and returns once the head of its answer has been read.
 // The caller must close the answer. The connection is closed if ctx ends before
 // the answer is closed. Every error is marked with ErrNotSent or ErrIncomplete,
@@ -181,11 +219,11 @@
 	a := &Answer{pool: p, conn: c, OnNewConnection: !c.reused, written: make(chan error, 1)}
 	a.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(req); err != nil {
-		a.Close(false)
+		a.Close()
 		return nil, errors.Mark(errors.Wrap(err, "write request"), ErrIncomplete)
 	}
 	if err := a.readHead(req); err != nil {
-		a.Close(false)
+		a.Close()
 		return nil, errors.Mark(err, ErrIncomplete)
 	}
 	return a, nil
@@ -228,7 +266,8 @@
 			continue
 		}
 		if req.Matches(resp.StatusCode, resp.Header) {
-			a.Status, a.Header, a.Body, a.resp = resp.StatusCode, resp.Header, resp.Body, resp
+			a.Status, a.Header, a.resp = resp.StatusCode, resp.Header, resp
+			a.Body = body{answer: a, inner: resp.Body}
 			return nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
@@ -239,13 +278,6 @@
 	return errors.New("received only interim answers or answers to other requests")
 }
 
-// Delimited reports whether the end of the answer is marked by its own framing.
-// An answer that ends with its connection is complete if the connection is
-// closed without an error.
-func (a *Answer) Delimited() bool {
-	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-}
-
 // Framing names the way in which the end of the answer's body is marked: "length",
 // "chunks", or "none" if the body ends with its connection.
 func (a *Answer) Framing() string {
@@ -258,13 +290,13 @@
 	return "none"
 }
 
-// Close releases the connection of the answer. complete states that the body
-// was read to its end; the connection is then kept for reuse if the request was
-// completely written and the answer permits it. Further calls have no effect.
-func (a *Answer) Close(complete bool) {
+// Close releases the connection of the answer. The connection is kept for reuse if the
+// request was completely written, the end of the answer was seen in its framing, and the
+// answer permits it. Further calls have no effect.
+func (a *Answer) Close() {
 	a.closeOnce.Do(func() {
 		stopped := a.stopCancel()
-		if !stopped || !complete || a.resp == nil || a.resp.Close || !a.Delimited() || !a.requestWritten() || a.conn.reader.Buffered() > 0 {
+		if !stopped || a.end != EndFramed || a.resp.Close || !a.requestWritten() || a.conn.reader.Buffered() > 0 {
 			a.pool.discard(a.conn)
 			return
 		}
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -64,7 +64,7 @@
 		return "", err
 	}
 	body, err := io.ReadAll(a.Body)
-	a.Close(err == nil)
+	a.Close()
 	return string(body), err
 }
 
@@ -261,7 +261,7 @@
 	if _, err := io.ReadAll(a.Body); err != nil {
 		t.Fatal(err)
 	}
-	a.Close(true)
+	a.Close()
 	if _, err := exchange(t, p, "next"); err != nil {
 		t.Fatal(err)
 	}
