httpserver: a stream to an HTTP/1.0 caller stated the length of its first event

Callers with HTTP/1.0 got each stream, complete or broken off, with the length of its first event; later events arrived as bytes of no answer.

Cause: the library sends no chunks to such a caller and computes the length from the bytes at hand when the head is flushed.

Change: httpserver.Stream takes the connection over for such callers. The answer has no length and ends with its connection; until it is complete, any close of the connection is a reset, also that of a process that is killed. Event streams of the entry VM use the same type.

--- a/internal/entry/answer_stream.go
+++ b/internal/entry/answer_stream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,6 +32,7 @@
 // first token or keep-alive; an earlier error is sent as a plain response with
 // its own HTTP status.
 func (s *answerStream) run(ctx context.Context) {
+	defer s.close()
 	for {
 		tokens, end, err := nextOrTimeout(ctx, s.req, s.offset)
 		switch {
@@ -51,11 +53,22 @@
 
 func (s *answerStream) open() *httpserver.EventStream {
 	if s.events == nil {
-		s.events = httpserver.NewEventStream(s.w)
+		s.events = httpserver.NewEventStream(s.w, s.r)
 	}
 	return s.events
 }
 
+// close ends the event stream if it was opened. The final event states whether the
+// answer is complete.
+func (s *answerStream) close() {
+	if s.events != nil {
+		s.events.End(streamCloseTimeout)
+	}
+}
+
+// streamCloseTimeout bounds the wait until a slow caller has received the final event.
+const streamCloseTimeout = 2 * time.Second
+
 func (s *answerStream) sendTokens(tokens []string) error {
 	frame := callerapi.TokensFrame{Offset: s.offset, Tokens: tokens}
 	s.offset += len(tokens)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -60,11 +60,11 @@
 	}
 	if failed {
 		q.failedAnswer = buffered
-		if q.mayRetry() && !q.headSent {
+		if q.mayRetry() && q.stream == nil {
 			return outcomeFailed
 		}
 	}
-	if q.headSent {
+	if q.stream != nil {
 		return outcomeLost
 	}
 	q.forward(buffered)
@@ -133,10 +133,10 @@
 	case outcome == outcomeCallerLeft:
 		q.recordResult("caller-left", reason, 0)
 		httpserver.Abort(q.w)
-	case q.headSent:
+	case q.stream != nil:
 		// The answer has begun and can't be completed: abort, so that it does not look
 		// complete.
-		httpserver.Abort(q.w)
+		q.stream.Abort()
 		q.recordResult("broken-off", reason, 0)
 	case q.failedAnswer != nil:
 		q.forward(q.failedAnswer)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
+	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
 	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
@@ -35,8 +36,8 @@
 	failedAnswer *bufferedAnswer
 	// lastEventID is the ID of the last event forwarded, -1 before the first.
 	lastEventID int64
-	// headSent is set once the head of an answer has been sent to the caller.
-	headSent        bool
+	// stream is the answer to the caller, nil until its head has been sent.
+	stream          *httpserver.Stream
 	timeToFirstByte time.Duration
 	// predictedFirstToken is the time to the first token that was predicted for the
 	// last attempt.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -126,7 +126,7 @@
 // rejectQuarantined ends a request whose content is quarantined. Earlier runs of the
 // content are known, so the answer does not state that it did not run.
 func (q *request) rejectQuarantined() {
-	if q.headSent {
+	if q.stream != nil {
 		q.finish(outcomeLost, reasonQuarantined)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,13 +4,13 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
+	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
 	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
@@ -106,14 +106,11 @@
 // forwardEvent sends one event to the caller, preceded by the head of the answer
 // if none has been sent.
 func (q *request) forwardEvent(answer *upstream.Answer, ev event) error {
-	if !q.headSent {
-		q.sendHead(answer)
-	}
-	if _, err := q.w.Write(ev.raw); err != nil {
+	if err := q.sendHead(answer); err != nil {
 		return err
 	}
-	if f, ok := q.w.(http.Flusher); ok {
-		f.Flush()
+	if _, err := q.stream.Write(ev.raw); err != nil {
+		return err
 	}
 	if ev.id >= 0 {
 		q.lastEventID = ev.id
@@ -121,11 +118,15 @@
 	return nil
 }
 
-func (q *request) sendHead(answer *upstream.Answer) {
-	q.headSent = true
+// sendHead sends the head of the answer unless it has been sent.
+func (q *request) sendHead(answer *upstream.Answer) (err error) {
+	if q.stream != nil {
+		return nil
+	}
 	platform.CopyAnswerHeaders(q.w.Header(), answer.Header)
 	q.closeIfDraining()
-	q.w.WriteHeader(answer.Status)
+	q.stream, err = httpserver.StartStream(q.w, q.r, answer.Status)
+	return err
 }
 
 // endStream handles the end of a stream, which readEvent reported as err. The stream is
@@ -151,10 +152,10 @@
 // finishStream ends the answer to the caller after a complete stream.
 func (q *request) finishStream(answer *upstream.Answer) attemptOutcome {
 	q.recordAnswer()
-	if !q.headSent {
-		q.sendHead(answer)
+	if err := q.sendHead(answer); err != nil {
+		return outcomeCallerLeft
 	}
-	q.flushBeforeClose()
+	q.stream.End(closeTimeout)
 	q.recordResult("served", "", answer.Status)
 	return outcomeAnswered
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -67,7 +67,7 @@
 	var events *httpserver.EventStream
 	err := s.engine.Generate(r.Context(), req, func(f ports.Frame) error {
 		if events == nil {
-			events = httpserver.NewEventStream(w)
+			events = httpserver.NewEventStream(w, r)
 		}
 		return events.Send(engineapi.FrameEvent, f)
 	})
--- a/internal/transport/httpserver/close_test.go
+++ b/internal/transport/httpserver/close_test.go
@@ -38,7 +38,7 @@
 // time.
 func closeWithOpenStreams(t *testing.T) bool {
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		events := NewEventStream(w)
+		events := NewEventStream(w, r)
 		for i := 0; r.Context().Err() == nil && events.Send("tokens", i) == nil; i++ {
 			time.Sleep(time.Millisecond)
 		}
--- a/internal/transport/httpserver/events.go
+++ b/internal/transport/httpserver/events.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 
@@ -8,19 +9,19 @@
 	"github.com/tmaxmax/go-sse"
 )
 
-// EventStream writes server-sent events, each flushed as it is sent.
+// EventStream writes server-sent events, each sent at once.
 type EventStream struct {
-	w       http.ResponseWriter
-	flusher http.Flusher
+	*Stream
+	// headErr is the error of sending the head.
+	headErr error
 }
 
 // NewEventStream sends the headers of an event stream on w.
-func NewEventStream(w http.ResponseWriter) *EventStream {
+func NewEventStream(w http.ResponseWriter, r *http.Request) *EventStream {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
-	w.WriteHeader(http.StatusOK)
-	flusher, _ := w.(http.Flusher)
-	return &EventStream{w: w, flusher: flusher}
+	stream, err := StartStream(w, r, http.StatusOK)
+	return &EventStream{Stream: stream, headErr: err}
 }
 
 // Send writes value as one event of the given type.
@@ -31,13 +32,7 @@
 	}
 	msg := sse.Message{Type: sse.Type(event)}
 	msg.AppendData(string(data))
-	if _, err := msg.WriteTo(s.w); err != nil {
-		return errors.Wrap(err, "write event")
-	}
-	if s.flusher != nil {
-		s.flusher.Flush()
-	}
-	return nil
+	return s.send(&msg)
 }
 
 // KeepAlive writes a comment, which readers skip. It allows them to distinguish a
@@ -45,11 +40,17 @@
 func (s *EventStream) KeepAlive() error {
 	var msg sse.Message
 	msg.AppendComment("keep-alive")
-	if _, err := msg.WriteTo(s.w); err != nil {
-		return errors.Wrap(err, "write comment")
+	return s.send(&msg)
+}
+
+func (s *EventStream) send(msg *sse.Message) error {
+	if s.headErr != nil {
+		return s.headErr
 	}
-	if s.flusher != nil {
-		s.flusher.Flush()
+	var buffer bytes.Buffer
+	if _, err := msg.WriteTo(&buffer); err != nil {
+		return errors.Wrap(err, "encode event")
 	}
-	return nil
+	_, err := s.Write(buffer.Bytes())
+	return errors.Wrap(err, "write event")
 }
--- a/internal/transport/httpserver/httpserver_test.go
+++ b/internal/transport/httpserver/httpserver_test.go
@@ -43,7 +43,7 @@
 func TestDisconnectCancelsStream(t *testing.T) {
 	ended := make(chan struct{})
 	s := startServer(t, Config{}, func(w http.ResponseWriter, r *http.Request) {
-		if NewEventStream(w).Send("tick", 1) == nil {
+		if NewEventStream(w, r).Send("tick", 1) == nil {
 			<-r.Context().Done()
 		}
 		close(ended)
@@ -100,7 +100,7 @@
 func TestIdleTimeoutDoesNotEndStream(t *testing.T) {
 	const timeout, events, callers = 10 * watchInterval, 30, 40
 	s := startServer(t, Config{IdleTimeout: timeout}, func(w http.ResponseWriter, r *http.Request) {
-		stream := NewEventStream(w)
+		stream := NewEventStream(w, r)
 		for range events {
 			if stream.Send("tick", 1) != nil {
 				return
@@ -132,7 +132,7 @@
 	const limit = 256 << 10
 	ended := make(chan int64, 1)
 	s := startServer(t, Config{MaxWriteBufferBytes: limit}, func(w http.ResponseWriter, r *http.Request) {
-		stream := NewEventStream(w)
+		stream := NewEventStream(w, r)
 		conn := connOf(w)
 		peak := int64(0)
 		for r.Context().Err() == nil && stream.Send("data", bytes.Repeat([]byte("x"), 4<<10)) == nil {
