faultlab: answers are cut at every place, in every framing; callers with HTTP/1.0

Backend servers now draw framing, place and end of a cut from the seed, one caller request in eight uses HTTP/1.0, and an answer that the caller takes as complete is checked against what its server sent. The proxies pass a reset on as a reset; they made an orderly close of it, which is the end of an answer without framing.

--- a/internal/faultlab/faultlab.go
+++ b/internal/faultlab/faultlab.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"coltsfootpath.example/coltsfootpath/internal/standin/logservice"
@@ -91,6 +92,7 @@
 // cluster holds the processes and stand-ins of one round.
 type cluster struct {
 	options   Options
+	seed      uint64
 	random    *rand.Rand
 	store     *platformtest.Store
 	servers   []*platformtest.Server
@@ -103,7 +105,7 @@
 }
 
 func runRound(ctx context.Context, o Options, seed uint64, out io.Writer) (*report, error) {
-	c := &cluster{options: o, random: rand.New(rand.NewPCG(seed, 77)), recorder: newRecorder(), output: out, startedAt: time.Now()}
+	c := &cluster{options: o, seed: seed, random: rand.New(rand.NewPCG(seed, 77)), recorder: newRecorder(), output: out, startedAt: time.Now()}
 	defer c.close()
 	if err := c.start(); err != nil {
 		return nil, err
@@ -203,20 +205,24 @@
 }
 
 // serverFaults returns a function that selects the Behavior of a backend server for its
-// n-th request: about 1 in 20 requests gets a faulty one.
+// n-th request: about 1 in 20 requests gets a faulty one, half of these an answer that is
+// cut.
 func (c *cluster) serverFaults(id string) func(int, platformtest.Run) platformtest.Behavior {
 	faulty := []platformtest.Behavior{
-		platformtest.ServerError, platformtest.RejectNotRun, platformtest.ResetBeforeAnswer, platformtest.TruncateAnswer, platformtest.OmitSeal, platformtest.DuplicateAnswer, platformtest.OmitLength,
+		platformtest.ServerError, platformtest.RejectNotRun, platformtest.OmitSeal, platformtest.DuplicateAnswer, platformtest.OmitLength,
 	}
 	return func(n int, r platformtest.Run) platformtest.Behavior {
 		if r.Body == crashingBody {
 			return platformtest.Crash
 		}
-		random := rand.New(rand.NewPCG(uint64(n), uint64(len(id)+len(r.ID))))
-		if random.IntN(20) > 0 {
-			return platformtest.CompleteAnswer
+		random := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(fmt.Sprint(id, " ", n))))
+		switch random.IntN(40) {
+		case 0:
+			return platformtest.RandomCut(random)
+		case 1:
+			return faulty[random.IntN(len(faulty))]
 		}
-		return faulty[random.IntN(len(faulty))]
+		return platformtest.CompleteAnswer
 	}
 }
 
--- a/internal/faultlab/proxy.go
+++ b/internal/faultlab/proxy.go
@@ -1,10 +1,13 @@
 package faultlab
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Fault selects how a proxy treats the bytes it forwards.
@@ -95,7 +98,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		_ = c.Close()
+		reset(c)
 	}
 }
 
@@ -111,7 +114,7 @@
 			return
 		}
 		if Fault(p.fault.Load()) == Reset {
-			_ = c.Close()
+			reset(c)
 			continue
 		}
 		go p.serve(c)
@@ -130,12 +133,16 @@
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = true, true
 	p.mu.Unlock()
-	done := make(chan struct{}, 2)
-	go p.forward(server, client, false, done)
-	go p.forward(client, server, true, done)
-	<-done
-	_ = client.Close()
-	_ = server.Close()
+	done := make(chan bool, 2)
+	go func() { done <- p.forward(server, client, false) }()
+	go func() { done <- p.forward(client, server, true) }()
+	if inOrder := <-done; inOrder {
+		_ = client.Close()
+		_ = server.Close()
+	} else {
+		reset(client)
+		reset(server)
+	}
 	<-done
 	p.mu.Lock()
 	delete(p.conns, client)
@@ -143,11 +150,19 @@
 	p.mu.Unlock()
 }
 
-// forward copies one direction of a connection; toClient is true for the direction
-// of the answers. After it has dropped bytes it forwards nothing more, as the stream
-// would have a gap; the connection stays open until one of its ends closes it.
-func (p *proxy) forward(to, from net.Conn, toClient bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// reset closes a connection such that its other end sees a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// forward copies one direction of a connection until it ends; toClient is true for the
+// direction of the answers. After it has dropped bytes it forwards nothing more, as the
+// stream would have a gap; the connection stays open until one of its ends closes it.
+// forward reports whether everything was forwarded and the connection closed in order.
+func (p *proxy) forward(to, from net.Conn, toClient bool) (inOrder bool) {
 	buffer := make([]byte, 32<<10)
 	dropped := false
 	for {
@@ -160,12 +175,12 @@
 			}
 			if !dropped {
 				if _, err := to.Write(buffer[:n]); err != nil {
-					return
+					return false
 				}
 			}
 		}
 		if err != nil {
-			return
+			return !dropped && errors.Is(err, io.EOF)
 		}
 	}
 }
--- a/internal/faultlab/verify.go
+++ b/internal/faultlab/verify.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -69,6 +70,8 @@
 	requestTimeout = 3 * time.Second
 	// maxRequestPause is the maximum pause between two requests of a caller.
 	maxRequestPause = 40 * time.Millisecond
+	// http10Share is the number of requests of which one uses HTTP/1.0.
+	http10Share = 8
 )
 
 // sendRequests sends requests to one node over persistent connections until ctx
@@ -81,7 +84,11 @@
 		path := paths[random.IntN(len(paths))]
 		request := platformtest.Request{ID: fmt.Sprintf("%s-%d", name, n), Method: http.MethodPost, Path: path + "x", Key: platformtest.Key, Body: "body of " + name, Timeout: requestTimeout}
 		requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
-		result := caller.Do(requestCtx, request)
+		send := caller.Do
+		if random.IntN(http10Share) == 0 {
+			send = caller.DoHTTP10
+		}
+		result := send(requestCtx, request)
 		cancel()
 		c.recorder.add(request, result)
 		time.Sleep(time.Duration(random.Int64N(int64(maxRequestPause))))
@@ -170,15 +177,33 @@
 	if e.result.ID != e.request.ID || e.result.Seal == "" {
 		c.recorder.addViolation("%s got an answer to request %q with the seal %q", e.request.ID, e.result.ID, e.result.Seal)
 	}
+	if !c.isWhole(e) {
+		c.recorder.addViolation("%s got the body %q as complete, its servers sent %+v", e.request.ID, e.result.Body, c.sent(e.request.ID))
+	}
+}
+
+// isWhole reports whether an answer that the caller took as complete is, or can't be
+// distinguished from a complete one by what its server sent.
+func (c *cluster) isWhole(e exchange) bool {
+	whole := func(body string) bool { return strings.HasSuffix(body, " to "+e.request.ID) }
 	if strings.HasPrefix(e.request.Path, platformtest.StreamPath) {
-		if e.result.Body != completeStream() {
-			c.recorder.addViolation("%s got the events %q", e.request.ID, e.result.Body)
-		}
-		return
+		whole = func(body string) bool { return body == completeStream() }
+	}
+	if whole(e.result.Body) {
+		return true
 	}
-	if !strings.HasSuffix(e.result.Body, " to "+e.request.ID) {
-		c.recorder.addViolation("%s got the body %q", e.request.ID, e.result.Body)
+	return slices.ContainsFunc(c.sent(e.request.ID), func(s platformtest.Sent) bool {
+		return s.Ambiguous && strings.HasSuffix(e.result.Body, s.Body)
+	})
+}
+
+// sent returns what the servers have sent of their answers to a request.
+func (c *cluster) sent(id string) []platformtest.Sent {
+	var all []platformtest.Sent
+	for _, s := range c.servers {
+		all = append(all, s.Sent(id)...)
 	}
+	return all
 }
 
 func completeStream() string {
