gateway: an answer to a resumed stream that is no stream vouched for its content

A stream that was resumed and then answered with a client error was broken off to its caller, but counted as an answer of its content. An answer counts only if it is passed on now.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -55,9 +55,6 @@
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	failed := answer.Status >= http.StatusInternalServerError
 	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
-	if !failed {
-		q.recordAnswer()
-	}
 	if failed {
 		q.failedAnswer = buffered
 		if q.mayRetry() && q.stream == nil {
@@ -65,8 +62,12 @@
 		}
 	}
 	if q.stream != nil {
+		n.log.Failure("attempt", "not-a-stream", "id", q.call.ID, "server", a.placed.server.id, "status", answer.Status, "events", q.lastEventID)
 		return outcomeLost
 	}
+	if !failed {
+		q.recordAnswer()
+	}
 	q.forward(buffered)
 	return outcomeAnswered
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -275,7 +275,9 @@
 	}
 	q.recordSent(p)
 	n.backends.recordConnected(p)
-	return a.receive(answer)
+	outcome := a.receive(answer)
+	n.metrics.answerEnds.WithLabelValues(q.service, answer.Framing(), outcome.String()).Inc()
+	return outcome
 }
 
 func (q *request) recordSent(p *placedAttempt) {
--- a/internal/gateway/broken_answer_test.go
+++ b/internal/gateway/broken_answer_test.go
@@ -224,3 +224,30 @@
 		conn.Close()
 	}
 }
+
+// TestBrokenOffStreamIsCountedAsAnswered: a broken stream must count in the losses of its
+// content and in the metrics.
+func TestBrokenOffStreamIsCountedAsAnswered(t *testing.T) {
+	b := newBrokenAnswerTrial(t)
+	cut := platformtest.Behavior{Framing: platformtest.FramingNone, Cut: platformtest.CutBeforeBlankLine, CutEvent: 1}
+	const sends = 4
+	for i := range sends {
+		id := fmt.Sprint("id-", i)
+		b.mu.Lock()
+		b.cuts[id] = cut
+		b.mu.Unlock()
+		if _, received, err := rawCallers[0].send(b.node, "/fixedstream/x", id, "body", time.Second); err == nil {
+			t.Errorf("%s looks complete: %q", id, received)
+		}
+		b.eventually("loss is counted", func() bool { return b.logs.hasLine("content lost", "id="+id, "server-state=listening") })
+	}
+	if !b.logs.hasLine("request broken-off", "framing=none", "partial=20") {
+		t.Error("the log does not show where the stream was cut")
+	}
+	if got := b.node.metrics.value(t, "answer_ends_total", "s", "none", outcomeLost.String()); got != sends {
+		t.Errorf("%v answers counted as lost, want %d", got, sends)
+	}
+	if got := b.node.metrics.value(t, "content_losses_total", "s", serverListening.String()); got != sends {
+		t.Errorf("%v losses counted, want %d", got, sends)
+	}
+}
