gateway: servers were sent requests after they had announced to leave or to want none

Change: coordination/announcements keeps what a process of a server has stated, by ID and start time, so that it outlives the server's entry and ends with the process. A leaving server is out of use at once, also for requests that wait or are placed: the check is repeated when a connection is at hand. A server that wants no requests gets none until then, which is no fault of it. If all servers of a service do, a request waits if one is due before its latency target would pass the deadline, and is otherwise refused at once with the time until the first is due.

--- /dev/null
+++ b/internal/coordination/announcements/announcements.go
@@ -0,0 +1,112 @@
+// Package announcements keeps what backend servers have stated about themselves in their
+// answers to this VM: that they leave, and until when they want no requests. A statement
+// binds this VM from then on, whatever a server's entry in the store says, and ends with
+// the server's process.
+package announcements
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// MaxPause bounds a pause; a longer one is taken for an error of the server.
+	MaxPause = 10 * time.Minute
+	// keepTime is the time for which a statement is kept after it was last made or
+	// looked up. An entry may be missing from the store for as long as the store is
+	// away.
+	keepTime = 10 * time.Minute
+)
+
+// Process identifies a process of a server. A new process of the same server has another
+// start time.
+type Process struct {
+	ServerID        string
+	StartedAtMillis int64
+}
+
+// Status is what a server has stated.
+type Status struct {
+	// Leaving is true if the server must get no more requests.
+	Leaving bool
+	// PausedUntil is the time before which the server wants no requests, zero if it has
+	// not stated one.
+	PausedUntil time.Time
+}
+
+// MaySend reports whether the server may be sent a request.
+func (s Status) MaySend(now time.Time) bool { return !s.Leaving && !now.Before(s.PausedUntil) }
+
+// Table holds the statements of all servers. It is safe for concurrent use; its lock is a
+// leaf lock.
+type Table struct {
+	mu        sync.Mutex
+	byProcess map[Process]*statement
+}
+
+type statement struct {
+	Status
+	usedAt time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{byProcess: map[Process]*statement{}} }
+
+// RecordLeaving records that a server leaves, and reports whether that is new.
+func (t *Table) RecordLeaving(p Process, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statement(p, now)
+	isNew := !s.Leaving
+	s.Leaving = true
+	return isNew
+}
+
+// RecordPause records that a server wants no requests for a while. It returns the end of
+// the pause, and whether the server was not paused before. Of several pauses the one that
+// ends last counts.
+func (t *Table) RecordPause(p Process, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statement(p, now)
+	isNew = !now.Before(s.PausedUntil)
+	if until = now.Add(min(pause, MaxPause)); until.After(s.PausedUntil) {
+		s.PausedUntil = until
+	}
+	return s.PausedUntil, isNew
+}
+
+// Status returns what a server has stated.
+func (t *Table) Status(p Process, now time.Time) Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.byProcess[p]
+	if !ok {
+		return Status{}
+	}
+	s.usedAt = now
+	return s.Status
+}
+
+// Sweep forgets the statements that were not used for a long time.
+func (t *Table) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p, s := range t.byProcess {
+		if now.Sub(s.usedAt) > keepTime && now.After(s.PausedUntil) {
+			delete(t.byProcess, p)
+		}
+	}
+}
+
+// statement returns the statement of a process, which it creates if there is none. The
+// caller must hold the lock.
+func (t *Table) statement(p Process, now time.Time) *statement {
+	s, ok := t.byProcess[p]
+	if !ok {
+		s = &statement{}
+		t.byProcess[p] = s
+	}
+	s.usedAt = now
+	return s
+}
--- /dev/null
+++ b/internal/gateway/announcements.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/announcements"
+	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
+	"coltsfootpath.example/coltsfootpath/platform"
+)
+
+const (
+	// dueCheckInterval bounds the time until a request that waits for a server notices
+	// another one.
+	dueCheckInterval = 50 * time.Millisecond
+	// minCallerPatience is the time for which a caller waits at least for the next event
+	// of a stream. It waits longer on slow routes: patienceTargets times the latency
+	// target, or patiencePauses times the pause target.
+	minCallerPatience = 2 * time.Second
+	patienceTargets   = 4
+	patiencePauses    = 8
+)
+
+// recordAnnouncements records what the server states about itself in an answer.
+func (a *attempt) recordAnnouncements(head platform.Answer) {
+	n := a.q.node
+	process, ok := a.announcer(head)
+	if !ok {
+		return
+	}
+	service, now := a.q.service, n.now()
+	if head.Leaving {
+		if n.backends.recordLeaving(process, now) {
+			n.log.Event("servers", "announced-leaving", "server", process.ServerID, "service", service, "started", process.StartedAtMillis, "id", a.q.call.ID)
+		}
+		n.metrics.announcements.WithLabelValues(service, "leaving").Inc()
+	}
+	if head.PauseErr != nil {
+		n.log.Failure("servers", "unreadable-retry-after", "server", process.ServerID, "service", service, "id", a.q.call.ID, "error", head.PauseErr)
+	}
+	if head.Pause > 0 {
+		if until, isNew := n.backends.recordPause(process, head.Pause, now); isNew {
+			n.log.Event("servers", "paused", "server", process.ServerID, "service", service, "stated", head.Pause, "for", until.Sub(now), "id", a.q.call.ID)
+		}
+		n.metrics.announcements.WithLabelValues(service, "pause").Inc()
+	}
+}
+
+// announcer returns the process that has sent an answer. It returns false if another server
+// than the intended one has answered and is not known.
+func (a *attempt) announcer(head platform.Answer) (announcements.Process, bool) {
+	if !head.Misdirected || head.ServerID == a.placed.info.ID {
+		return processOf(&a.placed.info), true
+	}
+	if s := a.q.node.backends.entry(head.ServerID); s != nil {
+		return processOf(s), true
+	}
+	return announcements.Process{}, false
+}
+
+// awaitServer waits until a server of the service may be used, and reports whether to
+// choose again. If no server will be usable in time, it ends the request.
+func (q *request) awaitServer(ctx context.Context, query *serverQuery, now time.Time) bool {
+	due, ok := q.node.backends.nextDue(query, now)
+	switch {
+	case !ok:
+		q.finish(outcomeNotSent, "no-server")
+		return false
+	case due.After(q.waitLimit(now)):
+		q.finish(outcomeNotSent, "servers-paused")
+		return false
+	}
+	sleep(ctx, min(due.Sub(now), dueCheckInterval))
+	return true
+}
+
+// waitLimit returns the time until which the request may wait for a server and still be
+// answered in time.
+func (q *request) waitLimit(now time.Time) time.Time {
+	limit := q.deadline.Add(-max(q.route.LatencyTarget, minTimeLeft))
+	if q.route.Kind != deployment.Stream {
+		return limit
+	}
+	if q.stream != nil {
+		return earlier(limit, now.Add(q.pauseTimeout()))
+	}
+	patience := max(minCallerPatience, patienceTargets*q.route.LatencyTarget, patiencePauses*q.route.PauseTarget)
+	return earlier(limit, q.startedAt.Add(patience-q.route.LatencyTarget))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// retryAfter returns the time after which a caller retry makes sense for a request that no
+// server could take.
+func (q *request) retryAfter() time.Duration {
+	now := q.node.now()
+	query := q.serverQuery()
+	query.exclude = nil
+	if q.node.backends.hasUsable(query, now) {
+		return retryAfterNoServer
+	}
+	due, ok := q.node.backends.nextDue(query, now)
+	if !ok {
+		return retryAfterNoServer
+	}
+	return max(due.Sub(now), retryAfterNoServer)
+}
--- a/internal/gateway/announcements_test.go
+++ b/internal/gateway/announcements_test.go
@@ -109,7 +109,9 @@
 	a := f.addServer("a", nil)
 	a.RestartAfter = 50 * time.Millisecond
 	n := f.startNode("vm-1", 1)
-	send := func(id string) int { return do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: id}).status }
+	send := func(id string) int {
+		return do(t, n, call{method: "GET", path: "/again/x", key: "key-w", id: id}).status
+	}
 	a.Leave()
 	if status := send("1"); status != http.StatusOK {
 		t.Fatalf("first request: status %d", status)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -20,11 +20,15 @@
 	q, n := a.q, a.q.node
 	q.framing, q.partialEventBytes = answer.Framing(), 0
 	head := platform.DecodeAnswer(answer.Status, answer.Header)
+	a.recordAnnouncements(head)
 	if head.NotRun {
 		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes)); err != nil {
 			n.log.Failure("attempt", "not-run-cut", "id", q.call.ID, "server", a.placed.server.id, "error", err)
 		}
 		answer.Close()
+		if head.Pause == 0 {
+			q.fullServers++
+		}
 		n.backends.recordFull(a.placed, q.call.Parts, n.now())
 		n.log.Event("attempt", "not-run", "id", q.call.ID, "server", a.placed.server.id, "status", answer.Status)
 		return outcomeNotRun
@@ -54,7 +58,8 @@
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	failed := answer.Status >= http.StatusInternalServerError
-	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
+	// A server that asks for a pause is busy, not faulty.
+	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed && head.Pause == 0, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
 	if failed {
 		q.failedAnswer = buffered
 		if q.mayRetry() && q.stream == nil {
@@ -142,7 +147,7 @@
 	case q.failedAnswer != nil:
 		q.forward(q.failedAnswer)
 	case q.possibleRuns == 0:
-		q.reject(rejection{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfterNoServer})
+		q.reject(rejection{status: http.StatusServiceUnavailable, reason: reason, retryAfter: q.retryAfter()})
 	case outcome == outcomeDeadline:
 		q.reject(rejection{status: http.StatusGatewayTimeout, reason: reason})
 	default:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,6 +28,9 @@
 	// those of them that may have run it.
 	sentCount    int
 	possibleRuns int
+	// fullServers counts the servers that rejected the request for lack of capacity
+	// and did not state when to come back.
+	fullServers int
 	// choices counts the servers chosen so far, including those that could not be
 	// reached.
 	choices int
@@ -162,16 +165,16 @@
 		q.rejectQuarantined()
 		return true
 	}
-	q.choices++
-	if q.choices > maxChoices {
+	if q.choices >= maxChoices {
 		q.finish(outcomeNotSent, "no-server-took-it")
 		return true
 	}
-	p := n.backends.choose(q.serverQuery(), now, q.random)
+	query := q.serverQuery()
+	p := n.backends.choose(query, now, q.random)
 	if p == nil {
-		q.finish(outcomeNotSent, "no-server")
-		return true
+		return !q.awaitServer(ctx, query, now)
 	}
+	q.choices++
 	isRetry := q.sentCount > 0
 	if isRetry && !n.retries.Take(q.service, now) {
 		n.backends.release(p)
@@ -191,8 +194,8 @@
 // afterAttempt reports whether the request is finished after an attempt with this
 // outcome. If so, it sends the final answer unless the caller already has one.
 func (q *request) afterAttempt(p *placedAttempt, outcome attemptOutcome) bool {
-	id := p.server.id
-	q.tried[id] = true
+	// A server that has rejected the request for a while may take it afterwards.
+	q.tried[p.server.id] = outcome != outcomeNotRun || q.node.backends.maySend(p, q.node.now())
 	switch outcome {
 	case outcomeAnswered:
 		return true
@@ -202,7 +205,7 @@
 	case outcomeNotSent:
 		return false
 	case outcomeNotRun:
-		if q.sentCount > q.possibleRuns+maxFullServers {
+		if q.fullServers > maxFullServers {
 			q.finish(outcome, "servers-full")
 			return true
 		}
@@ -349,6 +352,7 @@
 		Head:    platform.AppendHead(make([]byte, 0, 1024), q.r.Method, q.r.RequestURI, q.r.Host, q.r.Header, forward, len(q.body)),
 		Body:    q.body,
 		MaxIdle: maxIdle,
+		MaySend: func() bool { return q.node.backends.maySend(p, q.node.now()) },
 		Matches: func(status int, h http.Header) bool {
 			id := platform.DecodeAnswer(status, h).ID
 			return id == "" || id == q.call.ID
@@ -377,7 +381,7 @@
 func (a *attempt) handleSendError(err error) attemptOutcome {
 	q, n := a.q, a.q.node
 	if errors.Is(err, upstream.ErrNotSent) {
-		if !errors.Is(err, upstream.ErrConnectionLimit) && a.ctx.Err() == nil {
+		if !errors.IsAny(err, upstream.ErrConnectionLimit, upstream.ErrWithdrawn) && a.ctx.Err() == nil {
 			n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: true}, n.now())
 			n.backends.recordConnectFailure(a.placed, n.now())
 			n.log.Failure("attempt", "not-sent", "id", q.call.ID, "server", a.placed.server.id, "error", err)
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/announcements"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
@@ -71,6 +72,8 @@
 	ownLoad     placement.Load
 	cachedParts map[uint64]time.Time
 	fullUntil   time.Time
+	// announced is what the server's process has stated in its answers.
+	announced announcements.Status
 	// connectFailures counts consecutive failed connections. The server is avoided
 	// until unreachableUntil.
 	connectFailures  int
@@ -78,7 +81,8 @@
 }
 
 // backendTable holds all backend servers. Its lock is acquired before the locks
-// of the health table and of the connection pools, never after them.
+// of the health table, of the announcements and of the connection pools, never after
+// them.
 type backendTable struct {
 	mu        sync.Mutex
 	byID      map[string]*backend
@@ -88,7 +92,9 @@
 	// the number of VMs that each covers.
 	activeKeys map[string]int
 	health     *health.Table
-	members    func() int
+	// announcements holds what servers have stated in their answers.
+	announcements *announcements.Table
+	members       func() int
 	// serviceConfig returns the document's entry for a service, or nil if there is
 	// none.
 	serviceConfig func(name string) *deployment.Service
@@ -105,6 +111,8 @@
 		byService: map[string][]*backend{},
 		peerLoads: map[string]peerLoad{},
 		health:    h,
+
+		announcements: announcements.NewTable(),
 	}
 }
 
@@ -147,6 +155,7 @@
 	}
 	b := &backend{info: s, id: s.ID, service: s.Service, hash: xxhash.Sum64String(s.ID), cachedParts: map[uint64]time.Time{}}
 	b.shortHash = uint32(b.hash)
+	b.announced = t.announcements.Status(processOf(&s), now)
 	service := s.Service
 	b.pool = upstream.NewPool(s.Address, upstream.Config{
 		DialTimeout:        dialTimeout,
@@ -179,7 +188,60 @@
 func (t *backendTable) isLeaving(b *backend) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return b.info.Leaving || !b.removedAt.IsZero()
+	return b.leaves() || !b.removedAt.IsZero()
+}
+
+// leaves reports whether the server has announced that it will stop, in its entry or in an
+// answer. The caller must hold the table's lock.
+func (b *backend) leaves() bool { return b.info.Leaving || b.announced.Leaving }
+
+// recordLeaving records that a process has stated that it leaves, and reports whether that
+// is new.
+func (t *backendTable) recordLeaving(p announcements.Process, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	isNew := t.announcements.RecordLeaving(p, now)
+	t.refreshAnnounced(p, now)
+	return isNew
+}
+
+// recordPause records that a process wants no requests for a while. It returns the end of
+// the pause and whether it has just begun.
+func (t *backendTable) recordPause(p announcements.Process, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until, isNew = t.announcements.RecordPause(p, pause, now)
+	t.refreshAnnounced(p, now)
+	return until, isNew
+}
+
+// refreshAnnounced copies what a process has stated to its server's entry. The caller must
+// hold the lock.
+func (t *backendTable) refreshAnnounced(p announcements.Process, now time.Time) {
+	if b, ok := t.byID[p.ServerID]; ok && processOf(&b.info) == p {
+		b.announced = t.announcements.Status(p, now)
+	}
+}
+
+func processOf(s *deployment.Server) announcements.Process {
+	return announcements.Process{ServerID: s.ID, StartedAtMillis: s.StartedAtMillis}
+}
+
+// maySend reports whether an attempt that is placed may still be sent to its server.
+func (t *backendTable) maySend(p *placedAttempt, now time.Time) bool {
+	return t.announcements.Status(processOf(&p.info), now).MaySend(now)
+}
+
+// entry returns the present entry of a server, nil if there is none.
+func (t *backendTable) entry(id string) *deployment.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.byID[id]
+	if !ok {
+		return nil
+	}
+	s := b.info
+	return &s
 }
 
 // hasRestarted reports whether a later entry shows that the server's process has ended:
@@ -207,6 +269,7 @@
 // sweep deletes servers whose removal is longer ago than maxUseAfterRemoval, drops
 // expired cached parts and peer loads, and closes idle connections.
 func (t *backendTable) sweep(now time.Time) {
+	t.announcements.Sweep(now)
 	t.mu.Lock()
 	var pools []*upstream.Pool
 	changed := false
@@ -293,7 +356,9 @@
 	var out []deployment.Server
 	for _, b := range t.byService[service] {
 		if b.removedAt.IsZero() && keep(b) {
-			out = append(out, b.info)
+			s := b.info
+			s.Leaving = b.leaves()
+			out = append(out, s)
 		}
 	}
 	return out
@@ -307,7 +372,7 @@
 	defer t.mu.Unlock()
 	for _, b := range t.byService[service] {
 		switch {
-		case !b.removedAt.IsZero() || b.info.Leaving:
+		case !b.removedAt.IsZero() || b.leaves():
 		case b.info.SoftwareVersion == version:
 			hasVersion = true
 		default:
@@ -390,6 +455,30 @@
 	return out
 }
 
+// nextDue returns the time from which the first server may be used that wants no requests
+// before, and false if there is none.
+func (t *backendTable) nextDue(query *serverQuery, now time.Time) (due time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.byService[query.service] {
+		until := b.announced.PausedUntil
+		if query.exclude[b.id] || b.leaves() || !b.removedAt.IsZero() || !query.versions.allows(&b.info) || !now.Before(until) {
+			continue
+		}
+		if !ok || until.Before(due) {
+			due, ok = until, true
+		}
+	}
+	return due, ok
+}
+
+// hasUsable reports whether there is a server that may be chosen.
+func (t *backendTable) hasUsable(query *serverQuery, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.usable(query, now)) > 0
+}
+
 // usable returns the servers that may be chosen. Full, removed and unreachable
 // servers are returned only if there are no others, in this order of preference.
 // The caller must hold the lock.
@@ -398,6 +487,7 @@
 	for _, b := range t.byService[query.service] {
 		switch {
 		case query.exclude[b.info.ID] || b.info.Leaving || !query.versions.allows(&b.info):
+		case !b.announced.MaySend(now):
 		case !b.removedAt.IsZero():
 			if now.Sub(b.removedAt) < maxUseAfterRemoval {
 				removed = append(removed, b)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	contentTrials      *prometheus.CounterVec
 	contents           *prometheus.GaugeVec
 	undecodableRecords *prometheus.CounterVec
+	announcements      *prometheus.CounterVec
 	healthVerdicts     *prometheus.CounterVec
 	duties             *prometheus.CounterVec
 	openRequests       prometheus.Gauge
@@ -55,6 +56,7 @@
 			Name: "coltsfoot_gateway_contents", Help: "Request contents with lost servers, tracked and quarantined.",
 		}, []string{"state"}),
 		undecodableRecords: counter("unreadable_total", "Undecodable records in the platform's store, by topic.", "topic"),
+		announcements:      counter("server_announcements_total", "Answers in which servers stated that they leave or want no requests for a while, by service and kind.", "service", "kind"),
 		healthVerdicts:     counter("verdicts_total", "Changes of health verdicts by service and phase.", "service", "phase"),
 		duties:             counter("duties_total", "Calls made for singleton duties, by duty and outcome.", "duty", "outcome"),
 		openRequests:       gauge("open_requests", "Open requests."),
@@ -65,7 +67,7 @@
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.undecodableRecords, m.healthVerdicts, m.duties,
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
 		m.openRequests, m.documentVersion, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -30,6 +30,8 @@
 	// ErrAnswerStarted means that the first bytes of an answer were received, so
 	// the request has run.
 	ErrAnswerStarted = errors.New("answer has started")
+	// ErrWithdrawn means that Request.MaySend has returned false.
+	ErrWithdrawn = errors.New("request withdrawn")
 	// ErrConnectionLimit means that the number of this process's open connections to
 	// the server has reached Config.MaxConnections.
 	ErrConnectionLimit = errors.New("connection limit reached")
@@ -151,6 +153,9 @@
 	// unlikely that a request which must not run twice is sent on a connection
 	// that the server is closing.
 	MaxIdle time.Duration
+	// MaySend is called when a connection is at hand, before the request is written to
+	// it. If it returns false, the request is not sent.
+	MaySend func() bool
 }
 
 // Answer is a server's answer with an unread body.
@@ -216,6 +221,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.MaySend != nil && !req.MaySend() {
+		p.discard(c)
+		return nil, errors.Mark(ErrWithdrawn, ErrNotSent)
+	}
 	a := &Answer{pool: p, conn: c, OnNewConnection: !c.reused, written: make(chan error, 1)}
 	a.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.write(req); err != nil {
