faultlab: servers that leave and that ask for a pause

A server can announce in its answers that it leaves, with no word in the store, and goes 4 s later; overloaded servers reject all requests and ask for a pause. No node free of faults may send requests to the first later than 2 s after it has passed on such an answer, or more than two to the second between 0.5 s after it was asked and the end of the pause.

--- a/internal/faultlab/crashing.go
+++ b/internal/faultlab/crashing.go
@@ -27,8 +27,8 @@
 	maxCrashingPause = 800 * time.Millisecond
 )
 
-// nodeFault is a fault of one node, or of the store for all nodes if node is
-// empty.
+// nodeFault is a fault of one node or of the proxy of a server, or of the store for all
+// nodes if node is empty.
 type nodeFault struct {
 	node       string
 	start, end time.Time
@@ -57,6 +57,15 @@
 	})
 }
 
+// hadFault reports whether something of the given name had a fault between start and end.
+func (r *recorder) hadFault(name string, start, end time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.faults, func(f nodeFault) bool {
+		return f.node == name && f.start.Before(end) && (f.end.IsZero() || f.end.After(start))
+	})
+}
+
 // sendCrashingRequests sends one request content under new ids to all nodes, until
 // ctx ends.
 func (c *cluster) sendCrashingRequests(ctx context.Context, random *rand.Rand, name string) {
@@ -72,7 +81,7 @@
 		request := platformtest.Request{ID: fmt.Sprintf("%s-%d", name, n), Method: http.MethodPost, Path: path, Key: platformtest.Key, Body: crashingBody, Timeout: requestTimeout}
 		c.recorder.addCrashing(request.ID, c.nodes[i].name)
 		requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
-		c.recorder.add(request, callers[i].Do(requestCtx, request))
+		c.recorder.add(c.nodes[i].name, request, callers[i].Do(requestCtx, request))
 		cancel()
 		time.Sleep(time.Duration(random.Int64N(int64(maxCrashingPause))))
 	}
--- a/internal/faultlab/faultlab.go
+++ b/internal/faultlab/faultlab.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -206,7 +207,7 @@
 
 // serverFaults returns a function that selects the Behavior of a backend server for its
 // n-th request: about 1 in 20 requests gets a faulty one, half of these an answer that is
-// cut.
+// cut. In some seconds a server rejects all requests and asks for a pause.
 func (c *cluster) serverFaults(id string) func(int, platformtest.Run) platformtest.Behavior {
 	faulty := []platformtest.Behavior{
 		platformtest.ServerError, platformtest.RejectNotRun, platformtest.OmitSeal, platformtest.DuplicateAnswer, platformtest.OmitLength,
@@ -215,6 +216,9 @@
 		if r.Body == crashingBody {
 			return platformtest.Crash
 		}
+		if pause := c.pauseOf(id, r.At); pause > 0 {
+			return platformtest.Behavior{Head: platformtest.HeadNotRun, RetryAfter: strconv.FormatFloat(pause.Seconds(), 'f', 3, 64)}
+		}
 		random := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(fmt.Sprint(id, " ", n))))
 		switch random.IntN(40) {
 		case 0:
@@ -226,6 +230,26 @@
 	}
 }
 
+const (
+	// overloadPeriod divides a round into periods, of which a server is overloaded in one
+	// of overloadShare, for overloadTime.
+	overloadPeriod = 2 * time.Second
+	overloadTime   = 300 * time.Millisecond
+	overloadShare  = 4
+	maxPause       = 1500 * time.Millisecond
+)
+
+// pauseOf returns the time for which a server wants no requests at the time at, 0 if it
+// wants some.
+func (c *cluster) pauseOf(id string, at time.Time) time.Duration {
+	since := at.Sub(c.startedAt)
+	random := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(fmt.Sprint(id, " overload ", int(since/overloadPeriod)))))
+	if random.IntN(overloadShare) > 0 || since%overloadPeriod > overloadTime {
+		return 0
+	}
+	return time.Duration(random.Int64N(int64(maxPause)))
+}
+
 // awaitReady waits until all nodes are ready, at most for the timeout, and reports
 // whether they are.
 func (c *cluster) awaitReady(timeout time.Duration) bool {
@@ -264,13 +288,9 @@
 	n := c.nodes[c.random.IntN(len(c.nodes))]
 	i := c.random.IntN(len(c.proxies))
 	fault := Fault(1 + c.random.IntN(int(faultCount)-1))
-	kind := c.random.IntN(9)
+	kind := c.random.IntN(10)
 	return func() {
-		affected := n.name
-		if kind >= 6 {
-			affected = ""
-		}
-		if kind < 4 || kind >= 6 {
+		for _, affected := range c.affectedBy(kind, n, i) {
 			defer c.recorder.addFault(affected)()
 		}
 		switch kind {
@@ -318,10 +338,40 @@
 				})
 			}
 			killed.Wait()
+		case 9:
+			c.logEvent("server %d leaves", i)
+			c.servers[i].Leave()
+			time.Sleep(leaveTime)
+			c.servers[i].Crash()
 		}
 	}
 }
 
+// leaveTime is the time for which a server goes on after it has stated that it leaves. Its
+// entry does not state it.
+const leaveTime = 4 * time.Second
+
+// affectedBy returns what a kind of fault affects, as in nodeFault.
+func (c *cluster) affectedBy(kind int, n *node, server int) []string {
+	switch {
+	case kind < 4:
+		return []string{n.name}
+	case kind < 6:
+		return []string{serverName(server)}
+	case kind == 8:
+		var all []string
+		for _, n := range c.nodes {
+			all = append(all, n.name)
+		}
+		return all
+	case kind == 9:
+		return nil
+	}
+	return []string{""}
+}
+
+func serverName(i int) string { return fmt.Sprint("server ", i) }
+
 // restart stops a process and starts it again after the pause. It does nothing
 // if a restart of the process is already in progress.
 func (n *node) restart(stop func(), pause time.Duration, onError func(error)) {
--- a/internal/faultlab/verify.go
+++ b/internal/faultlab/verify.go
@@ -29,16 +29,20 @@
 type exchange struct {
 	request platformtest.Request
 	result  platformtest.Answer
+	// node is the node that the request was sent to, and answeredAt the time at which the
+	// answer was complete.
+	node       string
+	answeredAt time.Time
 }
 
 func newRecorder() *recorder {
 	return &recorder{exchanges: map[string]exchange{}, crashing: map[string]string{}}
 }
 
-func (r *recorder) add(request platformtest.Request, result platformtest.Answer) {
+func (r *recorder) add(node string, request platformtest.Request, result platformtest.Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.exchanges[request.ID] = exchange{request, result}
+	r.exchanges[request.ID] = exchange{request, result, node, time.Now()}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
@@ -90,7 +94,7 @@
 		}
 		result := send(requestCtx, request)
 		cancel()
-		c.recorder.add(request, result)
+		c.recorder.add(target.name, request, result)
 		time.Sleep(time.Duration(random.Int64N(int64(maxRequestPause))))
 	}
 }
@@ -118,6 +122,7 @@
 	}
 	c.verifyUsage()
 	c.verifyCrashingRequests()
+	c.verifyAnnouncements()
 	runs := map[string][]platformtest.Run{}
 	for _, s := range c.servers {
 		for _, r := range s.Runs() {
@@ -225,7 +230,7 @@
 			request := platformtest.Request{ID: "added-" + n.name, Method: http.MethodGet, Path: platformtest.AddedPath + "x", Key: platformtest.Key, Timeout: requestTimeout}
 			result := caller.Do(ctx, request)
 			cancel()
-			c.recorder.add(request, result)
+			c.recorder.add(n.name, request, result)
 			served = result.Err == nil && result.Status == http.StatusOK
 		}
 		caller.Close()
--- a/internal/gateway/announcements_test.go
+++ b/internal/gateway/announcements_test.go
@@ -42,11 +42,11 @@
 	}
 }
 
-// arrivalsBetween counts the times from start up to end.
-func arrivalsBetween(arrivals []time.Time, start, end time.Time) int {
+// arrivalsBetween counts the arrivals from start up to end.
+func arrivalsBetween(arrivals []platformtest.Arrival, start, end time.Time) int {
 	count := 0
-	for _, at := range arrivals {
-		if !at.Before(start) && at.Before(end) {
+	for _, a := range arrivals {
+		if !a.At.Before(start) && a.At.Before(end) {
 			count++
 		}
 	}
@@ -152,7 +152,7 @@
 		t.Errorf("request %d: %+v", i, replies[i])
 	}
 	arrivals := a.Arrivals()
-	if early := arrivalsBetween(arrivals, arrivals[0].Add(200*time.Millisecond), arrivals[0].Add(pause)); early > 0 {
+	if early := arrivalsBetween(arrivals, arrivals[0].At.Add(200*time.Millisecond), arrivals[0].At.Add(pause)); early > 0 {
 		t.Errorf("%d requests reached the server in the time for which it wanted none", early)
 	}
 	if !f.logs.hasLine("servers", "paused", "server=a") {
