--- a/internal/faultlab/faultlab.go
+++ b/internal/faultlab/faultlab.go
@@ -103,6 +103,14 @@
 	recorder  *recorder
 	output    io.Writer
 	startedAt time.Time
+
+	// restoring is locked while the store comes back from a copy.
+	restoring sync.Mutex
+	// documentVersion is the version of the operator's document, and addedAt the time at
+	// which the store had the first document with AddedPath. They are guarded by mu.
+	mu              sync.Mutex
+	documentVersion int
+	addedAt         time.Time
 }
 
 func runRound(ctx context.Context, o Options, seed uint64, out io.Writer) (*report, error) {
@@ -155,6 +163,7 @@
 	}
 	c.dir = dir
 	c.store = platformtest.NewStore()
+	c.store.SetEra(1)
 	c.store.Put(platform.OperatorTopic, platform.DocumentKey, platformtest.Document(1))
 	for i := range serverCount {
 		if err := c.addServer(fmt.Sprint("s-", i)); err != nil {
@@ -288,7 +297,7 @@
 	n := c.nodes[c.random.IntN(len(c.nodes))]
 	i := c.random.IntN(len(c.proxies))
 	fault := Fault(1 + c.random.IntN(int(faultCount)-1))
-	kind := c.random.IntN(10)
+	kind := c.random.IntN(11)
 	return func() {
 		for _, affected := range c.affectedBy(kind, n, i) {
 			defer c.recorder.addFault(affected)()
@@ -343,6 +352,8 @@
 			c.servers[i].Leave()
 			time.Sleep(leaveTime)
 			c.servers[i].Crash()
+		case 10:
+			c.restoreStore(duration/2, duration/4)
 		}
 	}
 }
@@ -364,7 +375,7 @@
 			all = append(all, n.name)
 		}
 		return all
-	case kind == 9:
+	case kind >= 9:
 		return nil
 	}
 	return []string{""}
@@ -404,7 +415,7 @@
 	}
 	c.store.SetFaults(logservice.Faults{})
 	// All nodes have to receive the new document, regardless of earlier faults.
-	c.store.Put(platform.OperatorTopic, platform.DocumentKey, platformtest.Document(2))
+	c.store.Put(platform.OperatorTopic, platform.DocumentKey, platformtest.Document(platformtest.FinalVersion))
 }
 
 func (c *cluster) close() {
--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -18,6 +18,8 @@
 	// 2, 3: a request that ends its servers was sent on to all of them, until the
 	// others were rarely served.
 	2, 3,
+	// 22001: two nodes shared a fencing token after the store came back from a copy.
+	22001,
 }
 
 // TestFaults runs a short round of each seed with the real gateway program.
--- a/internal/faultlab/verify.go
+++ b/internal/faultlab/verify.go
@@ -74,6 +74,8 @@
 	requestTimeout = 3 * time.Second
 	// maxRequestPause is the maximum pause between two requests of a caller.
 	maxRequestPause = 40 * time.Millisecond
+	// addedShare is the number of requests of which one uses a route that was added.
+	addedShare = 8
 	// http10Share is the number of requests of which one uses HTTP/1.0.
 	http10Share = 8
 )
@@ -86,6 +88,9 @@
 	paths := []string{platformtest.OncePath, platformtest.RepeatablePath, platformtest.StreamPath}
 	for n := 0; ctx.Err() == nil; n++ {
 		path := paths[random.IntN(len(paths))]
+		if random.IntN(addedShare) == 0 && c.addedFor() > configTime {
+			path = platformtest.AddedPath
+		}
 		request := platformtest.Request{ID: fmt.Sprintf("%s-%d", name, n), Method: http.MethodPost, Path: path + "x", Key: platformtest.Key, Body: "body of " + name, Timeout: requestTimeout}
 		requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
 		send := caller.Do
@@ -176,6 +181,9 @@
 			c.recorder.addViolation("%s reached a server as %s %s %q", e.request.ID, r.Method, r.Target, r.Body)
 		}
 	}
+	if e.result.Err == nil && (e.result.Status == http.StatusNotFound || e.result.Status == http.StatusUnauthorized) && !strings.HasPrefix(e.request.Path, platformtest.FinalPath) {
+		c.verifyUnknown(e)
+	}
 	if e.result.Err != nil || e.result.Status != http.StatusOK {
 		return
 	}
@@ -227,7 +235,7 @@
 		served := false
 		for end := time.Now().Add(readyTimeout); time.Now().Before(end) && !served; time.Sleep(50 * time.Millisecond) {
 			ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
-			request := platformtest.Request{ID: "added-" + n.name, Method: http.MethodGet, Path: platformtest.AddedPath + "x", Key: platformtest.Key, Timeout: requestTimeout}
+			request := platformtest.Request{ID: "final-" + n.name, Method: http.MethodGet, Path: platformtest.FinalPath + "x", Key: platformtest.Key, Timeout: requestTimeout}
 			result := caller.Do(ctx, request)
 			cancel()
 			c.recorder.add(n.name, request, result)
--- a/internal/standin/logservice/log.go
+++ b/internal/standin/logservice/log.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,6 +117,35 @@
 	return s
 }
 
+// Copy is the content of a log at one time.
+type Copy struct {
+	streams map[string]stream
+}
+
+// Copy returns a copy of the log's content.
+func (l *Log) Copy() *Copy {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &Copy{streams: map[string]stream{}}
+	for name, s := range l.streams {
+		c.streams[name] = stream{firstOffset: s.firstOffset, records: slices.Clone(s.records)}
+	}
+	return c
+}
+
+// Restore replaces the log's content by a copy, which may be used again. Waiting reads go
+// on.
+func (l *Log) Restore(c *Copy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, s := range l.streams {
+		old := c.streams[name]
+		s.firstOffset, s.records = max(old.firstOffset, 1), slices.Clone(old.records)
+		close(s.appended)
+		s.appended = make(chan struct{})
+	}
+}
+
 // ErrOffsetMismatch means that a conditional append named an offset that is not the
 // end of the stream.
 var ErrOffsetMismatch = errors.New("stream does not end at the expected offset")
