--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/singleton"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 )
 
 // Config bounds the gossip traffic and the times after which peers are treated
@@ -80,8 +81,8 @@
 	zoneDigest   *Digest
 	zoneDigestAt time.Time
 	readsStore   bool
-	documentEnd  uint64
-	serversEnd   uint64
+	documentEnd  storelog.Position
+	serversEnd   storelog.Position
 
 	// ownTotals are the totals of the peer itself since this VM's first digest
 	// from it, over all incarnations of the peer. zoneTotals and allTotals track
@@ -554,7 +555,7 @@
 // FurthestReader returns the address of the peer that has read furthest in the
 // document topic or, if inDocumentTopic is false, in the servers topic, and the
 // end offset up to which it has read.
-func (c *Core) FurthestReader(inDocumentTopic bool, now time.Time) (address string, end uint64) {
+func (c *Core) FurthestReader(inDocumentTopic bool, now time.Time) (address string, end storelog.Position) {
 	for _, p := range c.peers {
 		if !c.isFresh(p.lastReceivedAt, now) {
 			continue
--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -7,7 +7,10 @@
 // between zones grows only with the number of zones.
 package gossip
 
-import "coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
+import (
+	"coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
+)
 
 // Kind is the set of VMs over which a digest aggregates.
 type Kind int
@@ -57,12 +60,13 @@
 	// the time since its last report.
 	HolderAddress   string
 	HolderAgeMillis uint64
-	// HolderEnd is the end offset of the duties log in the holder's last report.
-	HolderEnd uint64
-	// DocumentEnd and ServersEnd are the end offsets up to which the sender has
-	// read the two topics of the store.
-	DocumentEnd uint64
-	ServersEnd  uint64
+	// HolderEnd is the end of the duties log in the holder's last report, in the era of
+	// FencingToken.
+	HolderEnd storelog.Position
+	// DocumentEnd and ServersEnd are the positions up to which the sender has read the
+	// two topics of the store.
+	DocumentEnd storelog.Position
+	ServersEnd  storelog.Position
 	// ReadsStore is true if the sender itself reads the store successfully.
 	ReadsStore bool
 	// Count is the number of VMs covered by the aggregate.
@@ -78,7 +82,7 @@
 	Contents []quarantine.Entry
 }
 
-// Move reports the state of a service's version move. Order is the offset of the
+// Move reports the state of a service's version move. Order is the position of the
 // operator's order for the move. NewAnswers and OldAnswers count the answers of the
 // two versions since then, NewFailures and OldFailures the failed ones among them.
 // The counts are aggregated like loads.
--- a/internal/coordination/movephase/movephase.go
+++ b/internal/coordination/movephase/movephase.go
@@ -153,6 +153,16 @@
 	return &Table{cfg: cfg, moves: map[string]*Move{}}
 }
 
+// Renumber gives a service's order a higher number, if it is an order for target. The
+// order has been written again.
+func (t *Table) Renumber(order uint64, service, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.moves[service]; ok && m.Target == target && order > m.Order {
+		m.Order = order
+	}
+}
+
 // AddOrder records an operator's order, unless the service already has this
 // order or a later one.
 func (t *Table) AddOrder(order uint64, service, target string, timeLimit time.Duration, now time.Time) {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -57,8 +57,9 @@
 	// Generation increases when the quarantine is lifted. Of two entries with
 	// different generations, the older one is discarded.
 	Generation uint32
-	// Stored is true if the store holds a quarantine of this generation.
-	Stored bool
+	// StoredIn is the last era in which the store held a quarantine of this generation,
+	// plus one; 0 if it never did.
+	StoredIn uint64
 	// VouchedMillis is the Unix time in milliseconds of the last answer with which a
 	// VM vouched for the content. Losses up to then do not count. 0 means never.
 	VouchedMillis int64
@@ -161,8 +162,8 @@
 		*e = other.clone()
 		return true
 	}
-	changed := other.Stored && !e.Stored || other.VouchedMillis > e.VouchedMillis
-	e.Stored = e.Stored || other.Stored
+	changed := other.StoredIn > e.StoredIn || other.VouchedMillis > e.VouchedMillis
+	e.StoredIn = max(e.StoredIn, other.StoredIn)
 	e.VouchedMillis = max(e.VouchedMillis, other.VouchedMillis)
 	for _, ev := range other.Events {
 		changed = e.add(ev) || changed
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -106,7 +106,7 @@
 	for i := range out {
 		e := c.stored[out[i].Content]
 		e.merge(&out[i])
-		e.Content, e.Stored = out[i].Content, true
+		e.Content, e.StoredIn = out[i].Content, 1
 		c.stored[e.Content] = e
 	}
 	c.tables[vm].MarkStored(out)
--- a/internal/coordination/quarantine/table.go
+++ b/internal/coordination/quarantine/table.go
@@ -112,8 +112,10 @@
 	rates            map[string]*lossRate
 	// unresolved holds interruptions that may turn out to be ends.
 	unresolved []Loss
-	periods    int
-	offered    uint64
+	// storedIn is the StoredIn of entries that the store holds now.
+	storedIn uint64
+	periods  int
+	offered  uint64
 }
 
 // credit is the credit of a content, with the time of its last answer.
@@ -124,7 +126,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[uint64]*record{}, credits: [2]map[uint64]credit{{}, {}}, rates: map[string]*lossRate{}}
+	return &Table{records: map[uint64]*record{}, credits: [2]map[uint64]credit{{}, {}}, rates: map[string]*lossRate{}, storedIn: 1}
 }
 
 // Check decides whether a content may be sent to a server of the service.
@@ -306,7 +308,7 @@
 	if r := t.record(content, now); r != nil {
 		e = r.clone()
 	}
-	e.Stored = true
+	e.StoredIn = t.storedIn
 	e.add(Event{Kind: TrialStarted, AtMillis: now.UnixMilli()})
 	return e
 }
@@ -444,6 +446,13 @@
 	}
 }
 
+// SetEra sets the era of the store. What it held in earlier ones may be lost.
+func (t *Table) SetEra(era uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.storedIn = max(t.storedIn, era+1)
+}
+
 // Unstored returns the entries that this VM has to write to the store: those with
 // own events that the store lacks, if the content is or was quarantined or isolated
 // is set. If forOthers is set, it also returns the quarantined contents that no VM
@@ -457,7 +466,7 @@
 		if t.isInnocent(r, now) {
 			continue
 		}
-		overdue := forOthers && !r.Stored && nowMillis-r.lastAtMillis() > millis(relayDelay)
+		overdue := forOthers && r.StoredIn < t.storedIn && nowMillis-r.lastAtMillis() > millis(relayDelay)
 		if r.unwritten && isolated || (r.unwritten || overdue) && r.isOrWasQuarantined() {
 			out = append(out, r.clone())
 		}
@@ -476,8 +485,8 @@
 			continue
 		}
 		r.unwritten = false
-		if r.isOrWasQuarantined() && !r.Stored {
-			r.Stored = true
+		if r.isOrWasQuarantined() && r.StoredIn < t.storedIn {
+			r.StoredIn = t.storedIn
 			r.sends = max(r.sends, relayedSends)
 		}
 	}
--- a/internal/coordination/singleton/singleton_test.go
+++ b/internal/coordination/singleton/singleton_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"coltsfootpath.example/coltsfootpath/internal/rapidtest"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 )
 
 func TestMain(m *testing.M) { rapidtest.Main(m, 0) }
@@ -22,8 +23,12 @@
 type simulation struct {
 	t   *rapid.T
 	now time.Time
-	log []Record
-	vms []*vm
+	// log is the log in its present era. sizes holds its sizes at earlier times of the era,
+	// to which it may return.
+	log   []Record
+	era   uint64
+	sizes []logSize
+	vms   []*vm
 	// inFlight holds the appends that were sent and have not arrived at the log.
 	inFlight []pendingAppend
 	// reports holds the holders' reports, which VMs receive late and out of order.
@@ -31,6 +36,14 @@
 	actions []action
 }
 
+type logSize struct {
+	at      time.Time
+	records int
+}
+
+// maxCopyAge is the maximum age of the copy from which the log comes back.
+const maxCopyAge = 4 * time.Second
+
 type vm struct {
 	machine     *Machine
 	incarnation uint64
@@ -44,7 +57,7 @@
 	vm          int
 	incarnation uint64
 	record      Record
-	offset      uint64
+	at          storelog.Position
 	sentAt      time.Time
 	// answerLost is true if the sender never receives the answer.
 	answerLost bool
@@ -59,7 +72,9 @@
 func (w *simulation) start(i int) {
 	v := w.vms[i]
 	v.incarnation++
-	v.machine = NewMachine(config, fmt.Sprint("vm-", i), v.incarnation, w.now)
+	cfg := config
+	cfg.IsFirstStart = v.incarnation == 1
+	v.machine = NewMachine(cfg, fmt.Sprint("vm-", i), v.incarnation, w.now)
 	v.appending = false
 }
 
@@ -72,22 +87,41 @@
 	switch m.Next(w.now, v.lowPriority) {
 	case ReadLog:
 		if m.LogRead(w.read(m), w.now) == Claim {
-			w.send(i, m.NewRecord(true))
+			w.send(i, m.NewRecord(true, 0))
 		}
 	case Renew:
-		w.send(i, m.NewRecord(false))
+		w.send(i, m.NewRecord(false, 0))
 	}
 }
 
 func (w *simulation) read(m *Machine) []Record {
-	return append([]Record(nil), w.log[m.State().End:]...)
+	if m.EraChanged(w.era, w.now) && m.State().End != storelog.At(w.era, 0) {
+		w.t.Fatalf("a new era is read from %v", m.State().End)
+	}
+	return append([]Record(nil), w.log[m.State().End.Offset():]...)
+}
+
+// restore lets the log come back from a copy that is at most maxCopyAge old.
+func (w *simulation) restore() {
+	var copies []logSize
+	for _, c := range w.sizes {
+		if w.now.Sub(c.at) <= maxCopyAge {
+			copies = append(copies, c)
+		}
+	}
+	if len(copies) == 0 {
+		return
+	}
+	w.log = append([]Record(nil), w.log[:copies[rapid.IntRange(0, len(copies)-1).Draw(w.t, "copy")].records]...)
+	w.era++
+	w.sizes = nil
 }
 
 func (w *simulation) send(i int, r Record) {
 	v := w.vms[i]
 	v.appending = true
 	w.inFlight = append(w.inFlight, pendingAppend{
-		vm: i, incarnation: v.incarnation, record: r, offset: v.machine.State().End, sentAt: w.now,
+		vm: i, incarnation: v.incarnation, record: r, at: v.machine.State().End, sentAt: w.now,
 		answerLost: rapid.IntRange(0, 5).Draw(w.t, "lost") == 0,
 	})
 }
@@ -96,10 +130,11 @@
 func (w *simulation) arrive(n int) {
 	f := w.inFlight[n]
 	w.inFlight = append(w.inFlight[:n], w.inFlight[n+1:]...)
-	ok := f.offset == uint64(len(w.log))
+	ok := f.at.Offset() == uint64(len(w.log))
 	if ok {
 		w.log = append(w.log, f.record)
 	}
+	ok = ok && f.at.Era() == w.era
 	v := w.vms[f.vm]
 	if v.incarnation != f.incarnation {
 		return
@@ -141,7 +176,12 @@
 // No VM acts under a fencing token after another VM has acted under a higher one,
 // two VMs never share a token, and holders never act in the order A, B, A within
 // one lease duration.
-func TestHoldersDoNotOverlap(t *testing.T) {
+func TestHoldersDoNotOverlap(t *testing.T) { checkHolders(t, false) }
+
+// TestHoldersOverlapAfterLogWasRestored is the same with a log that comes back from copies.
+func TestHoldersOverlapAfterLogWasRestored(t *testing.T) { checkHolders(t, true) }
+
+func checkHolders(t *testing.T, hasEras bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &simulation{t: t, now: startTime}
 		for i := range rapid.IntRange(1, 4).Draw(t, "vms") {
@@ -151,9 +191,14 @@
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
 			w.now = w.now.Add(time.Duration(rapid.IntRange(20, 200).Draw(t, "passed")) * time.Millisecond)
 			i := rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")
+			w.sizes = append(w.sizes, logSize{w.now, len(w.log)})
 			switch rapid.IntRange(0, 40).Draw(t, "event") {
 			case 0:
 				w.start(i)
+			case 9:
+				if hasEras {
+					w.restore()
+				}
 			case 1:
 				w.vms[i].frozenUntil = w.now.Add(time.Duration(rapid.IntRange(1, 8).Draw(t, "freeze")) * time.Second)
 			case 2, 3, 4, 5, 6, 7, 8:
@@ -331,3 +376,60 @@
 		t.Fatalf("reports are %v, want the first count of window 5", s.Reports)
 	}
 }
+
+// TestUsageIsReportedTwiceAfterLogWasRestored: the log has lost the report of a window. A
+// holder that knows it writes it again; another one must not report the window.
+func TestUsageIsReportedTwiceAfterLogWasRestored(t *testing.T) {
+	const window, last = 7, 9
+	log := []Record{{VM: "a", Incarnation: 1, IsClaim: true, Token: 1}}
+	holder := NewMachine(config, "a", 1, startTime)
+	for _, r := range []Record{log[0], {VM: "a", Incarnation: 1, Token: 1, Window: window, Counts: map[string]int{"w": 3}}} {
+		holder.Appended(r, startTime, startTime)
+	}
+	now := startTime.Add(time.Second)
+	if !holder.EraChanged(1, now) || holder.Next(now, false) != ReadLog || holder.LogRead(log, now) != Claim {
+		t.Fatal("the holder does not claim the lease again")
+	}
+	claim := holder.NewRecord(true, last)
+	if claim.Reports[window]["w"] != 3 || claim.LostUpTo != 0 || EraOf(claim.Token) != 1 {
+		t.Errorf("claim of the holder: %+v", claim)
+	}
+	holder.Appended(claim, now, now)
+	if again := holder.NewRecord(true, last); again.Reports != nil {
+		t.Errorf("the reports are written again: %+v", again.Reports)
+	}
+	other := NewMachine(config, "b", 1, startTime)
+	other.EraChanged(1, now)
+	for ; ; now = now.Add(100 * time.Millisecond) {
+		if other.Next(now, false) != ReadLog {
+			continue
+		}
+		records := log
+		log = nil
+		if other.LogRead(records, now) == Claim {
+			break
+		}
+	}
+	if waited := now.Sub(startTime); waited < config.LeaseDuration {
+		t.Errorf("the lease was claimed after %v, but a holder that the log lacks may still act", waited)
+	}
+	if claim := other.NewRecord(true, last); claim.LostUpTo != last {
+		t.Errorf("claim of another VM: %+v", claim)
+	}
+}
+
+// TestTrimmedLogIsNeverClaimed: the records that a VM has not read are gone. It continues
+// with those that are left, which show the holder.
+func TestTrimmedLogIsNeverClaimed(t *testing.T) {
+	m := NewMachine(config, "b", 1, startTime)
+	m.SkipTo(40)
+	if m.LogRead([]Record{{VM: "a", Incarnation: 1, Token: 12}}, startTime) == Claim || m.State().FencingToken != 12 {
+		t.Errorf("state %+v", m.State())
+	}
+	if m.LogRead(nil, startTime.Add(config.LeaseDuration+config.Margin)) != Claim {
+		t.Error("the lease of a silent holder is not claimed")
+	}
+	if claim := m.NewRecord(true, 9); claim.Token != 42 || claim.LostUpTo != 9 {
+		t.Errorf("claim %+v", claim)
+	}
+}
--- a/internal/ctl/content.go
+++ b/internal/ctl/content.go
@@ -55,7 +55,7 @@
 	if store == "" {
 		return nil, &app.ExitError{Code: app.ExitUsage, Err: errors.New("--store is required")}
 	}
-	return platform.NewClient(store, store, func(string, error) {}), nil
+	return platform.NewClient(store, store, platform.Hooks{}), nil
 }
 
 func (o *options) storedContents(store string) ([]quarantine.Entry, error) {
@@ -74,7 +74,7 @@
 		if len(it.Value) == 0 {
 			continue
 		}
-		e, err := digest.UnmarshalStoredContent(it.Key, it.Value)
+		e, err := digest.UnmarshalStoredContent(it.Key, it.Value, it.Position.Era())
 		if err != nil {
 			return nil, &app.ExitError{Code: app.ExitFailed, Err: errors.Wrapf(err, "decode request content %s", it.Key)}
 		}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/singleton"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -55,7 +56,7 @@
 }
 
 func newDuties(n *Node) *duties {
-	cfg := singleton.Config{LeaseDuration: n.settings.Lease, Margin: leaseMargin, HolderTimeout: holderTimeout}
+	cfg := singleton.Config{LeaseDuration: n.settings.Lease, Margin: leaseMargin, HolderTimeout: holderTimeout, IsFirstStart: n.settings.FirstStart}
 	return &duties{
 		node:        n,
 		machine:     singleton.NewMachine(cfg, n.settings.VM, n.incarnation, n.now()),
@@ -70,9 +71,9 @@
 	return d.node.clock.unixMillis(now) / d.node.settings.UsageWindow.Milliseconds()
 }
 
-// leaseState returns this node's fencing token and the end of the duties log.
+// leaseState returns this node's fencing token and the end position of the duties log.
 // holds reports whether this node holds the lease.
-func (d *duties) leaseState(now time.Time) (token, end uint64, holds bool) {
+func (d *duties) leaseState(now time.Time) (token uint64, end storelog.Position, holds bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	token, holds = d.machine.FencingToken(now)
@@ -98,6 +99,9 @@
 	now := d.node.now()
 	backup := !d.node.members.isReader()
 	d.mu.Lock()
+	if from := d.machine.State().End; from > 0 && d.machine.EraChanged(d.node.storeEra(), now) {
+		d.node.log.Event("duties", "era-changed", "from", from, "era", d.node.storeEra())
+	}
 	action := d.machine.Next(now, backup)
 	d.mu.Unlock()
 	switch action {
@@ -138,8 +142,10 @@
 func (d *duties) newRecord(claim bool) singleton.Record {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.machine.NewRecord(claim)
-	r.InitialServers = d.orderer.initialSizes(d.machine.State().InitialServers)
+	r := d.machine.NewRecord(claim, d.lastReportable(d.node.now()))
+	if sizes := d.orderer.initialSizes(d.machine.State().InitialServers); sizes != nil {
+		r.InitialServers = sizes
+	}
 	return r
 }
 
@@ -151,6 +157,12 @@
 	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
 	defer cancel()
 	batch, err := d.node.platform.Read(ctx, dutyTopic, from, 0)
+	if d.followLog(err) {
+		d.mu.Lock()
+		from = d.machine.State().End
+		d.mu.Unlock()
+		batch, err = d.node.platform.Read(ctx, dutyTopic, from, 0)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -158,13 +170,34 @@
 	for i, data := range batch.Records {
 		var r singleton.Record
 		if err := json.Unmarshal(data, &r); err != nil {
-			d.node.log.Failure("duties", "unreadable-record", "offset", batch.FirstOffset+uint64(i), "error", err)
+			d.node.log.Failure("duties", "unreadable-record", "offset", batch.First+storelog.Position(i), "error", err)
 		}
 		records = append(records, r)
 	}
 	return records, nil
 }
 
+// followLog reports whether err means that the log goes on at another position, and makes
+// the machine continue there.
+func (d *duties) followLog(err error) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	from := d.machine.State().End
+	if era, ok := platform.NewerEra(err); ok && d.machine.EraChanged(era, d.node.now()) {
+		if from > 0 {
+			d.node.log.Event("duties", "era-changed", "from", from, "era", era)
+		}
+		return true
+	}
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) && trimmed.First > from {
+		d.machine.SkipTo(trimmed.First)
+		d.node.log.Event("duties", "records-gone", "from", from, "first", trimmed.First)
+		return true
+	}
+	return false
+}
+
 func (d *duties) checkLog(ctx context.Context) singleton.Action {
 	records, err := d.readNew(ctx)
 	d.mu.Lock()
@@ -207,7 +240,7 @@
 		return true
 	}
 	d.node.log.Failure("duties", "not-appended", "claim", r.IsClaim, "at", at, "error", err)
-	if !errors.Is(err, platform.ErrOffsetMismatch) && !errors.Is(err, platform.ErrUnknown) {
+	if d.followLog(err) || !errors.IsAny(err, platform.ErrOffsetMismatch, platform.ErrUnknown) {
 		return false
 	}
 	records, err := d.readNew(ctx)
@@ -245,7 +278,7 @@
 	n := d.node
 	now := n.now()
 	wallMillis := n.clock.unixMillis(now)
-	last := (wallMillis-reportDelay.Milliseconds())/n.settings.UsageWindow.Milliseconds() - 1
+	last := d.lastReportable(now)
 	for w := last - reportWindows; w <= last; w++ {
 		if d.reported[w] || now.Sub(d.attemptedAt[w]) < reportRetryInterval {
 			continue
@@ -253,6 +286,12 @@
 		if d.shouldAwaitCounts(w, wallMillis, now) {
 			continue
 		}
+		if d.mayBeLost(w) {
+			d.reported[w] = true
+			n.log.Failure("duties", "usage-skipped", "window", w, "fence", h.FencingToken)
+			n.metrics.duties.WithLabelValues("usage", "skipped").Inc()
+			continue
+		}
 		d.attemptedAt[w] = now
 		counts, ok := d.loggedCounts(ctx, w)
 		if !ok {
@@ -281,6 +320,21 @@
 	}
 }
 
+// lastReportable returns the last usage window that may have been reported.
+func (d *duties) lastReportable(now time.Time) int64 {
+	return (d.node.clock.unixMillis(now)-reportDelay.Milliseconds())/d.node.settings.UsageWindow.Milliseconds() - 1
+}
+
+// mayBeLost reports whether a window may have been reported, with counts that the log has
+// lost.
+func (d *duties) mayBeLost(window int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.machine.State()
+	_, known := s.Reports[window]
+	return !known && window <= s.LostUpTo
+}
+
 // shouldAwaitCounts reports whether a window's report is still delayed for nodes that
 // have not sent their counts since its end. Partitioned nodes may become
 // reachable again before the report is due.
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -36,6 +38,10 @@
 	// relayBackoff is the time for which a node reads only the store after a
 	// failed call to a peer.
 	relayBackoff = 1500 * time.Millisecond
+	// restoreTime is the time, from the first listing after the store came back from a
+	// copy, in which the operator and the servers write again what the copy lacks. What
+	// is missing then is gone.
+	restoreTime = 3 * time.Second
 	// idleCheckInterval is the interval at which a node that relies on other
 	// readers checks whether one of them still reads the store.
 	idleCheckInterval = 300 * time.Millisecond
@@ -51,19 +57,16 @@
 	// readPause is the pause between two reads of the store, so that records that
 	// arrive one by one are read together.
 	readPause time.Duration
-	// apply handles a key's newest value. value is nil if the key was deleted.
-	apply func(key string, value []byte, offset uint64)
+	// apply handles a change of a key's newest value.
+	apply func(c topicview.Change)
 	// wakeups receives a value when a peer has read further.
 	wakeups chan struct{}
 	// failures counts consecutive failed calls to the store.
 	failures atomic.Int32
 
-	// mu guards records, endOffset and completeFrom, which are also read for peers.
-	mu        sync.Mutex
-	records   map[string]relayapi.Record
-	endOffset uint64
-	// completeFrom is the offset from which on this node has read every record.
-	completeFrom uint64
+	// mu guards view, which is also read for peers.
+	mu   sync.Mutex
+	view *topicview.View
 
 	// The fields below are used only by the goroutine of run. synced is set while
 	// no records are missing since the last listing of all keys.
@@ -72,8 +75,21 @@
 	nextRelayAt time.Time
 }
 
-func newFollower(n *Node, topic string, pause time.Duration, apply func(string, []byte, uint64)) *follower {
-	return &follower{node: n, topic: topic, readPause: pause, apply: apply, wakeups: make(chan struct{}, 1), records: map[string]relayapi.Record{}}
+func newFollower(n *Node, topic string, pause time.Duration, version func(string, []byte) (topicview.Version, bool), apply func(topicview.Change)) *follower {
+	view := topicview.New(topicview.Config{RestoreTime: restoreTime, Version: version})
+	return &follower{node: n, topic: topic, readPause: pause, apply: apply, wakeups: make(chan struct{}, 1), view: view}
+}
+
+// operatorRecordVersion and serverRecordVersion are the versions of the records of the two
+// topics.
+func operatorRecordVersion(key string, value []byte) (topicview.Version, bool) {
+	version, ok := platform.OperatorRecordVersion(key, value)
+	return topicview.Version{Major: version}, ok
+}
+
+func serverRecordVersion(_ string, value []byte) (topicview.Version, bool) {
+	startedAt, sequence, ok := platform.ServerRecordVersion(value)
+	return topicview.Version{Major: startedAt, Minor: sequence}, ok
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -88,9 +104,13 @@
 		if f.synced && !ahead && f.node.members.mayRelyOnReaders() {
 			f.node.storeReads.recordRead(f.topic, f.node.now())
 			f.node.storeReads.setReadsStore(f.topic, false)
+			f.expire()
 			f.waitForWakeup(ctx, idleCheckInterval)
 			continue
 		}
+		if f.end().Era() < f.node.platform.Era() {
+			f.synced = false
+		}
 		var err error
 		if f.synced {
 			err = f.readStore(ctx)
@@ -101,10 +121,15 @@
 		case err == nil:
 			f.synced = true
 			f.recordSuccess()
+			f.expire()
 			sleep(ctx, f.readPause)
 		case errors.Is(err, platform.ErrTrimmed):
 			f.node.log.Event("store", "records-gone", "topic", f.topic, "from", f.end())
 			f.synced = false
+		case errors.Is(err, platform.ErrOtherEra):
+			f.node.log.Event("store", "other-era", "topic", f.topic, "from", f.end(), "error", err)
+			f.synced = false
+			sleep(ctx, storeBackoff)
 		case errors.Is(err, errPeerAhead):
 		default:
 			f.recordFailure(err)
@@ -140,6 +165,9 @@
 		f.node.log.Failure("store", "lost", "topic", f.topic, "error", err)
 	}
 	f.nextRelayAt = time.Time{}
+	f.mu.Lock()
+	f.view.Postpone(f.node.now())
+	f.mu.Unlock()
 	f.node.storeReads.setReadsStore(f.topic, false)
 }
 
@@ -153,20 +181,46 @@
 	return peer, end > f.end()
 }
 
-func (f *follower) end() uint64 {
+func (f *follower) end() storelog.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.endOffset
+	return f.view.End()
 }
 
-func (f *follower) setEnd(end uint64) {
+// update changes the view, announces its end to peers, and applies the records that change
+// what is in force.
+func (f *follower) update(change func(v *topicview.View) []topicview.Change) {
 	f.mu.Lock()
-	f.endOffset = max(f.endOffset, end)
-	end = f.endOffset
+	before := f.view.End()
+	changes := change(f.view)
+	end, isRestoring := f.view.End(), f.view.IsRestoring()
 	f.mu.Unlock()
+	if end.Era() > before.Era() && before > 0 {
+		f.node.log.Event("store", "restored", "topic", f.topic, "from", before, "end", end, "awaits-records", isRestoring)
+	}
+	for _, c := range changes {
+		f.apply(c)
+	}
 	f.node.members.recordReadEnd(f.topic, end)
 }
 
+// expire ends the time in which records of an earlier era are awaited, once it has passed.
+func (f *follower) expire() {
+	f.mu.Lock()
+	wasRestoring := f.view.IsRestoring()
+	f.mu.Unlock()
+	if !wasRestoring {
+		return
+	}
+	f.update(func(v *topicview.View) []topicview.Change {
+		changes := v.Expire(f.node.now())
+		if !v.IsRestoring() {
+			f.node.log.Event("store", "restoration-ended", "topic", f.topic, "end", v.End(), "changes", len(changes))
+		}
+		return changes
+	})
+}
+
 // readFromPeer reads records from a peer, and reports whether that advanced this
 // node's end offset.
 func (f *follower) readFromPeer(ctx context.Context, address string) bool {
@@ -183,53 +237,30 @@
 		return false
 	}
 	f.applyReply(reply)
+	f.expire()
 	f.node.log.Event("store", "relayed", "topic", f.topic, "peer", address, "records", len(reply.Records), "full", reply.Full, "from", from, "end", reply.End)
-	f.setEnd(reply.End)
-	f.synced = true
+	f.synced = f.end().Era() == reply.End.Era()
 	f.node.storeReads.recordRead(f.topic, f.node.now())
 	return reply.End > from
 }
 
 // applyReply applies the records that a peer has returned.
 func (f *follower) applyReply(reply *relayapi.RecordsReply) {
-	if reply.Full {
-		f.applyAll(reply.Records, reply.End)
-		return
-	}
-	for _, r := range reply.Records {
-		f.applyRecord(r)
-	}
-}
-
-// applyAll applies a listing of all keys as of the offset end. Keys that are not
-// in it are deleted.
-func (f *follower) applyAll(records []relayapi.Record, end uint64) {
-	present := make(map[string]bool, len(records))
-	for _, r := range records {
-		present[r.Key] = true
-		f.applyRecord(r)
-	}
-	for _, r := range f.deletions(present, end) {
-		f.applyRecord(r)
-	}
-	f.mu.Lock()
-	f.completeFrom = max(f.completeFrom, end)
-	f.mu.Unlock()
+	f.update(func(v *topicview.View) []topicview.Change {
+		if reply.Full {
+			return v.ApplyListing(reply.Records, reply.End, f.node.now())
+		}
+		return v.ApplyRecords(reply.Records, reply.End)
+	})
 }
 
 // recordsSince returns the newest record of each key that changed at or after the
-// offset from. If this node has not read every record since then, it returns all
-// keys.
-func (f *follower) recordsSince(from uint64) *relayapi.RecordsReply {
+// position from, or all keys if those are not known.
+func (f *follower) recordsSince(from storelog.Position) *relayapi.RecordsReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &relayapi.RecordsReply{End: f.endOffset, Full: from < f.completeFrom}
-	for _, r := range f.records {
-		if reply.Full && len(r.Value) > 0 || !reply.Full && r.Offset >= from {
-			reply.Records = append(reply.Records, r)
-		}
-	}
-	return reply
+	records, full := f.view.Since(from)
+	return &relayapi.RecordsReply{Records: records, End: f.view.End(), Full: full}
 }
 
 // readAll reads the newest record of each key, at the start and after a gap.
@@ -240,47 +271,35 @@
 	if err != nil {
 		return err
 	}
-	records := make([]relayapi.Record, 0, len(items))
+	records := make([]topicview.Record, 0, len(items))
 	for _, it := range items {
-		records = append(records, relayapi.Record{Key: it.Key, Value: it.Value, Offset: it.Offset})
+		records = append(records, topicview.Record{Key: it.Key, Value: it.Value, Position: it.Position})
 	}
-	f.applyAll(records, end)
-	f.setEnd(end)
+	f.update(func(v *topicview.View) []topicview.Change { return v.ApplyListing(records, end, f.node.now()) })
 	return nil
 }
 
 // listNewest returns the newest record of each key, and an end offset before
 // which no record is missing. The store's end offset may already count a record
 // that the returned items lack; the items are then read again.
-func (f *follower) listNewest(ctx context.Context) ([]platform.Item, uint64, error) {
+func (f *follower) listNewest(ctx context.Context) ([]platform.Item, storelog.Position, error) {
 	items, end, err := f.node.platform.ListNewest(ctx, f.topic)
 	if err != nil {
 		return nil, 0, err
 	}
 	for _, it := range items {
-		if it.Offset+1 >= end {
+		if it.Position+1 >= end {
 			return items, end, nil
 		}
 	}
-	if end == 0 {
+	if end.Offset() == 0 {
 		return items, end, nil
 	}
-	items, _, err = f.node.platform.ListNewest(ctx, f.topic)
-	return items, end, err
-}
-
-// deletions returns a deletion record for each key that is known but not present
-// in a listing with the given end offset.
-func (f *follower) deletions(present map[string]bool, end uint64) []relayapi.Record {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []relayapi.Record
-	for key, r := range f.records {
-		if !present[key] && len(r.Value) > 0 && r.Offset+1 < end {
-			out = append(out, relayapi.Record{Key: key, Offset: end - 1})
-		}
+	items, again, err := f.node.platform.ListNewest(ctx, f.topic)
+	if err == nil && again.Era() != end.Era() {
+		end = again
 	}
-	return out
+	return items, end, err
 }
 
 // readStore waits for new records at the store. It is cancelled if a peer reports
@@ -319,39 +338,21 @@
 			return err
 		}
 	}
+	records := make([]topicview.Record, 0, len(batch.Records))
 	for i, record := range batch.Records {
-		offset := batch.FirstOffset + uint64(i)
+		at := batch.First + storelog.Position(i)
 		key, value, err := platform.DecodeKeyed(record)
 		if err != nil {
-			f.node.log.Failure("store", "unreadable-record", "topic", f.topic, "offset", offset, "error", err)
+			f.node.log.Failure("store", "unreadable-record", "topic", f.topic, "offset", at, "error", err)
 			f.node.metrics.undecodableRecords.WithLabelValues(f.topic).Inc()
 			continue
 		}
-		f.applyRecord(relayapi.Record{Key: key, Value: value, Offset: offset})
+		records = append(records, topicview.Record{Key: key, Value: value, Position: at})
 	}
-	f.setEnd(batch.FirstOffset + uint64(len(batch.Records)))
+	f.update(func(v *topicview.View) []topicview.Change { return v.ApplyRecords(records, batch.End()) })
 	return nil
 }
 
-// applyRecord applies a record unless a newer one of the same key has been
-// applied.
-func (f *follower) applyRecord(r relayapi.Record) {
-	f.mu.Lock()
-	last, known := f.records[r.Key]
-	if known && r.Offset <= last.Offset {
-		f.mu.Unlock()
-		return
-	}
-	f.records[r.Key] = r
-	f.mu.Unlock()
-	switch {
-	case len(r.Value) > 0:
-		f.apply(r.Key, r.Value, r.Offset)
-	case known && len(last.Value) > 0:
-		f.apply(r.Key, nil, r.Offset)
-	}
-}
-
 // wakeFollowers wakes the followers of topics in which the sender of d has read
 // further.
 func (n *Node) wakeFollowers(d *gossip.Digest) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
 	"coltsfootpath.example/coltsfootpath/internal/loopback"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/platform"
 	"coltsfootpath.example/coltsfootpath/platform/platformtest"
 )
@@ -103,7 +105,7 @@
 	}
 	var settings Settings
 	settings.Schema()
-	settings.VM, settings.AvailabilityZone = vm, "zone-a"
+	settings.VM, settings.AvailabilityZone, settings.FirstStart = vm, "zone-a", true
 	settings.CallerAddress, settings.ReadyAddress, settings.DirectoryAddress, settings.PeerAddress, settings.MetricsAddress = addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
 	settings.StoreAddress, settings.CloudAddress = f.store.Address(), f.store.Address()
 	return settings
@@ -556,7 +558,7 @@
 		d.VM, d.Incarnation, d.AvailabilityZone, d.PeerAddress = string(rune('a'+i)), 1, "zone-a", listener.Addr().String()
 		digests = append(digests, d)
 	}
-	receiveDigests := func(end uint64) {
+	receiveDigests := func(end storelog.Position) {
 		for _, d := range digests {
 			d.Sequence++
 			d.DocumentEnd = end
@@ -587,11 +589,10 @@
 	f.eventually("the store is unavailable", func() bool { return f.logs.hasLine("store lost", "keyed.servers") })
 	f.store.Put(platform.ServersTopic, "a", nil)
 	f.store.Put(platform.ServersTopic, "b", b.Registration("s", "zone-a", "ready"))
-	relay := newFollower(old, platform.ServersTopic, 0, func(string, []byte, uint64) {})
-	relay.applyAll([]relayapi.Record{{Key: "b", Value: b.Registration("s", "zone-a", "ready"), Offset: 3}}, 4)
-	relay.endOffset = 4
-	reply := relay.recordsSince(old.serverFollower.end())
-	old.serverFollower.applyReply(reply)
+	relay := topicview.New(topicview.Config{Version: serverRecordVersion})
+	relay.ApplyListing([]topicview.Record{{Key: "b", Value: b.Registration("s", "zone-a", "ready"), Position: 3}}, 4, old.now())
+	records, full := relay.Since(old.serverFollower.end())
+	old.serverFollower.applyReply(&relayapi.RecordsReply{Records: records, End: relay.End(), Full: full})
 	f.eventually("the deleted server is removed", func() bool { return f.logs.hasLine("servers gone", "server=a") })
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -16,6 +16,7 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -53,9 +54,9 @@
 	core        *gossip.Core
 	sequence    uint64
 	earlyDigest chan struct{}
-	// documentEnd and serversEnd are the offsets up to which this node has read the
+	// documentEnd and serversEnd are the positions up to which this node has read the
 	// two topics.
-	documentEnd, serversEnd uint64
+	documentEnd, serversEnd storelog.Position
 }
 
 func newMembers(n *Node) *members {
@@ -125,7 +126,7 @@
 
 // recordReadEnd records how far this node has read a topic. If it has advanced, the
 // next digest is sent early.
-func (m *members) recordReadEnd(topic string, end uint64) {
+func (m *members) recordReadEnd(topic string, end storelog.Position) {
 	m.mu.Lock()
 	at := &m.serversEnd
 	if topic == platform.OperatorTopic {
@@ -161,8 +162,8 @@
 	Capacity int    `json:"capacity"`
 }
 
-// register writes this VM's registration to the store and reads those of all VMs.
-// It retries until both have succeeded or ctx ends.
+// register writes this VM's registration to the store and reads those of all VMs. After
+// the store has come back from a copy, which may lack the registration, it writes it again.
 func (m *members) register(ctx context.Context) {
 	n := m.node
 	own, err := json.Marshal(registration{Peer: n.settings.PeerAddress, Zone: n.settings.AvailabilityZone, Capacity: int(n.settings.LinkMbps)})
@@ -170,25 +171,33 @@
 		n.log.Failure("members", "not-encoded", "error", err)
 		return
 	}
-	registered := false
+	var registeredAt storelog.Position
+	registered, listed := false, false
 	for ctx.Err() == nil {
+		registered = registered && registeredAt.Era() >= n.storeEra()
+		if registered && listed {
+			sleep(ctx, registerInterval)
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, newestTimeout)
 		var err error
 		if !registered {
-			_, err = n.platform.Append(callCtx, vmsTopic, platform.EncodeKeyed(n.settings.VM, own))
+			registeredAt, err = n.platform.Append(callCtx, vmsTopic, platform.EncodeKeyed(n.settings.VM, own))
 			registered = err == nil
 		}
 		var items []platform.Item
-		if err == nil {
+		if err == nil && !listed {
 			items, _, err = n.platform.ListNewest(callCtx, vmsTopic)
 		}
 		cancel()
-		if err == nil {
+		switch {
+		case err != nil:
+			n.log.Failure("members", "not-registered", "error", err)
+			sleep(ctx, registerInterval)
+		case !listed:
+			listed = true
 			m.addRegistered(items)
-			return
 		}
-		n.log.Failure("members", "not-registered", "error", err)
-		sleep(ctx, registerInterval)
 	}
 }
 
@@ -431,7 +440,7 @@
 
 // furthestReader returns the address and end offset of the peer that has read
 // furthest in a topic.
-func (m *members) furthestReader(topic string) (string, uint64) {
+func (m *members) furthestReader(topic string) (string, storelog.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.core.FurthestReader(topic == platform.OperatorTopic, m.node.now())
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -7,6 +7,7 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/movephase"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
@@ -35,6 +36,8 @@
 type publishedStatus struct {
 	order uint64
 	state string
+	// era is the era of the store in which it was published.
+	era uint64
 }
 
 func newVersionMoves(n *Node) *versionMoves {
@@ -47,18 +50,22 @@
 }
 
 // applyOrder applies an operator's order for a version move.
-func (v *versionMoves) applyOrder(key string, value []byte, offset uint64) {
-	if value == nil {
+func (v *versionMoves) applyOrder(c topicview.Change) {
+	if len(c.Value) == 0 {
 		return
 	}
-	m, err := platform.DecodeMove(value)
+	m, err := platform.DecodeMove(c.Value)
 	if err != nil {
-		v.node.log.Failure("moves", "unreadable", "key", key, "offset", offset, "error", err)
+		v.node.log.Failure("moves", "unreadable", "key", c.Key, "offset", c.Position, "error", err)
 		v.node.metrics.undecodableRecords.WithLabelValues(platform.OperatorTopic).Inc()
 		return
 	}
-	v.table.AddOrder(offset, m.Service, m.Target, m.MaxDuration, v.node.now())
-	v.node.log.Event("moves", "ordered", "service", m.Service, "target", m.Target, "within", m.MaxDuration, "offset", offset)
+	if c.Restored {
+		v.table.Renumber(uint64(c.Position), m.Service, m.Target)
+		return
+	}
+	v.table.AddOrder(uint64(c.Position), m.Service, m.Target, m.MaxDuration, v.node.now())
+	v.node.log.Event("moves", "ordered", "service", m.Service, "target", m.Target, "within", m.MaxDuration, "offset", c.Position)
 	if v.node.now().Sub(v.node.members.startedAt) < restoreWindow {
 		v.node.loops.Go(func() { v.restoreStatusWithRetry(m.Service) })
 	}
@@ -197,7 +204,7 @@
 func (v *versionMoves) restoreStatus(ctx context.Context, m movephase.Move) bool {
 	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
 	defer cancel()
-	items, _, err := v.node.platform.ListNewest(ctx, platform.StatusTopic)
+	items, end, err := v.node.platform.ListNewest(ctx, platform.StatusTopic)
 	if err != nil {
 		v.node.log.Failure("moves", "status-unread", "service", m.Service, "error", err)
 		return false
@@ -214,7 +221,7 @@
 			v.table.AdvancePhase(m.Service, m.Order, movephase.RolledBack, v.node.now())
 		}
 		v.mu.Lock()
-		v.published[m.Service] = publishedStatus{order: m.Order, state: state}
+		v.published[m.Service] = publishedStatus{order: m.Order, state: state, era: end.Era()}
 		v.mu.Unlock()
 	}
 	return true
@@ -229,9 +236,10 @@
 	movephase.RolledBack: platform.MoveRolledBack,
 }
 
-// publishStatus writes a move's status for the operator if it has changed.
+// publishStatus writes a move's status for the operator if it has changed, or if the store
+// has come back from a copy that may lack it.
 func (v *versionMoves) publishStatus(ctx context.Context, m movephase.Move, p movephase.Phase) {
-	status := publishedStatus{order: m.Order, state: phaseStates[p]}
+	status := publishedStatus{order: m.Order, state: phaseStates[p], era: v.node.storeEra()}
 	v.mu.Lock()
 	unchanged := v.published[m.Service] == status
 	v.mu.Unlock()
@@ -245,10 +253,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
 	defer cancel()
-	if _, err := v.node.platform.Append(ctx, platform.StatusTopic, platform.EncodeKeyed(key, value)); err != nil {
+	at, err := v.node.platform.Append(ctx, platform.StatusTopic, platform.EncodeKeyed(key, value))
+	if err != nil {
 		v.node.log.Failure("moves", "not-stated", "service", m.Service, "state", status.state, "error", err)
 		return
 	}
+	status.era = at.Era()
 	v.node.log.Event("moves", "stated", "service", m.Service, "target", m.Target, "state", status.state)
 	v.mu.Lock()
 	v.published[m.Service] = status
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -21,11 +21,13 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quota"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/retry"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/eventlog"
 	monitor "coltsfootpath.example/coltsfootpath/internal/metrics"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
 	"coltsfootpath.example/coltsfootpath/internal/transport/peer"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -138,7 +140,7 @@
 		work:        newWorkMeter(),
 	}
 	n.liveSettings.Store(&settings)
-	n.platform = platform.NewClient(settings.StoreAddress, settings.CloudAddress, n.countPlatformCall)
+	n.platform = platform.NewClient(settings.StoreAddress, settings.CloudAddress, platform.Hooks{OnCall: n.countPlatformCall, OnEra: n.recordEra})
 	n.health = health.New(healthConfig, n.now())
 	n.health.OnChange(func(k health.Key, phase string) {
 		n.log.Event("health", "verdict", "server", k.Server, "service", k.Model, "phase", phase)
@@ -148,8 +150,8 @@
 	n.quota = quota.New(quotaExtraShare * settings.QuotaSlack)
 	n.usage = usage.NewTable(usage.Source{VM: settings.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
-	n.operatorFollower = newFollower(n, platform.OperatorTopic, 0, n.applyOperatorRecord)
-	n.serverFollower = newFollower(n, platform.ServersTopic, serverReadPause, n.applyServerRecord)
+	n.operatorFollower = newFollower(n, platform.OperatorTopic, 0, operatorRecordVersion, n.applyOperatorRecord)
+	n.serverFollower = newFollower(n, platform.ServersTopic, serverReadPause, serverRecordVersion, n.applyServerRecord)
 	n.peerPool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.serverChecks = newServerChecks(n)
@@ -234,20 +236,33 @@
 	n.metrics.platformCalls.WithLabelValues(call, outcome).Inc()
 }
 
+// recordEra records that the store has come back from a copy, or that this node has read
+// it for the first time.
+func (n *Node) recordEra(era uint64) {
+	n.log.Event("store", "era", "era", era)
+	n.metrics.storeEra.Set(float64(era))
+}
+
+// storeEra returns the highest era of the store that this node knows, from the store or
+// from peers.
+func (n *Node) storeEra() uint64 {
+	return max(n.platform.Era(), n.operatorFollower.end().Era(), n.serverFollower.end().Era())
+}
+
 // applyOperatorRecord applies a record that the operator wrote.
-func (n *Node) applyOperatorRecord(key string, value []byte, offset uint64) {
+func (n *Node) applyOperatorRecord(c topicview.Change) {
 	switch {
-	case key == platform.DocumentKey && value != nil:
-		n.applyDocument(value, offset)
-	case strings.HasPrefix(key, platform.MoveKeyPrefix):
-		n.moves.applyOrder(key, value, offset)
+	case c.Key == platform.DocumentKey && len(c.Value) > 0:
+		n.applyDocument(c.Value, c.Position)
+	case strings.HasPrefix(c.Key, platform.MoveKeyPrefix):
+		n.moves.applyOrder(c)
 	}
 }
 
-func (n *Node) applyDocument(value []byte, offset uint64) {
+func (n *Node) applyDocument(value []byte, at storelog.Position) {
 	d, err := platform.DecodeDocument(value)
 	if err != nil {
-		n.log.Failure("document", "unreadable", "offset", offset, "error", err)
+		n.log.Failure("document", "unreadable", "offset", at, "error", err)
 		n.metrics.undecodableRecords.WithLabelValues(platform.OperatorTopic).Inc()
 		return
 	}
@@ -262,29 +277,30 @@
 	n.callerServer.SetLimits(httpserver.Limits{HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: d.Limits.IdleTimeout})
 	n.document.Store(d)
 	n.metrics.documentVersion.Set(float64(d.Version))
-	n.log.Event("document", "in-force", "version", d.Version, "offset", offset, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
+	n.log.Event("document", "in-force", "version", d.Version, "offset", at, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
 }
 
 // applyServerRecord applies a backend server's entry, or its deletion if value is
 // nil.
-func (n *Node) applyServerRecord(id string, value []byte, offset uint64) {
+func (n *Node) applyServerRecord(c topicview.Change) {
+	id, value, at := c.Key, c.Value, c.Position
 	now := n.now()
-	if value == nil {
+	if len(value) == 0 {
 		if s, ok := n.backends.markRemoved(id, now); ok {
-			n.log.Event("servers", "gone", "server", id, "service", s.Service, "zone", s.AvailabilityZone, "offset", offset)
+			n.log.Event("servers", "gone", "server", id, "service", s.Service, "zone", s.AvailabilityZone, "offset", at)
 		}
 		return
 	}
 	s, err := platform.DecodeServer(id, value)
 	if err != nil {
-		n.log.Failure("servers", "unreadable", "server", id, "offset", offset, "error", err)
+		n.log.Failure("servers", "unreadable", "server", id, "offset", at, "error", err)
 		n.metrics.undecodableRecords.WithLabelValues(platform.ServersTopic).Inc()
 		return
 	}
 	previous, known := n.backends.put(s, now)
 	if !known || previous.Leaving != s.Leaving || previous.Address != s.Address || previous.StartedAtMillis != s.StartedAtMillis {
 		n.log.Event("servers", "entry", "server", id, "service", s.Service, "zone", s.AvailabilityZone, "address", s.Address,
-			"leaving", s.Leaving, "reclaimable", s.Reclaimable, "version", s.SoftwareVersion, "offset", offset)
+			"leaving", s.Leaving, "reclaimable", s.Reclaimable, "version", s.SoftwareVersion, "offset", at)
 	}
 	if known && previous.StartedAtMillis != s.StartedAtMillis {
 		n.quarantiner.recordRestart(shortHash(id), id, s.StartedAtMillis)
--- a/internal/gateway/orders_test.go
+++ b/internal/gateway/orders_test.go
@@ -16,7 +16,7 @@
 // a rejected one, because the platform may still carry it out later.
 func TestOrderOutcomes(t *testing.T) {
 	store := platformtest.NewStore()
-	client := platform.NewClient(store.Address(), store.Address(), func(string, error) {})
+	client := platform.NewClient(store.Address(), store.Address(), platform.Hooks{})
 	order := func() fleetplan.Outcome {
 		return orderOutcome(client.OrderServers(context.Background(), platform.Holder{VM: "vm-1", FencingToken: 1}, platform.Order{Service: "s", Count: 2}))
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -10,6 +10,7 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -40,9 +41,9 @@
 	table *quarantine.Table
 
 	mu sync.Mutex
-	// end is the offset up to which the topic of contents was read. listed is set once all
-	// its keys were read.
-	end       uint64
+	// end is the position up to which the topic of contents was read. listed is set once
+	// all its keys were read in that era.
+	end       storelog.Position
 	listed    bool
 	cleanupAt time.Time
 	// claim is held while this node claims a trial.
@@ -201,8 +202,9 @@
 		switch {
 		case err == nil:
 			failures = 0
-		case errors.Is(err, platform.ErrTrimmed):
+		case errors.IsAny(err, platform.ErrTrimmed, platform.ErrOtherEra):
 			z.setListed(false)
+			sleep(ctx, storeBackoff)
 		default:
 			if failures++; failures == 1 {
 				z.node.log.Failure("store", "lost", "topic", digest.ContentsTopic, "error", err)
@@ -229,7 +231,7 @@
 	}
 	var entries []quarantine.Entry
 	for _, it := range items {
-		entries = z.appendDecoded(entries, it.Key, it.Value, it.Offset)
+		entries = z.appendDecoded(entries, it.Key, it.Value, it.Position)
 	}
 	z.merge(entries, "store")
 	z.advance(end)
@@ -238,7 +240,7 @@
 }
 
 // read reads the records after the last one read, and returns the offset after them.
-func (z *quarantiner) read(ctx context.Context, wait time.Duration) (end uint64, err error) {
+func (z *quarantiner) read(ctx context.Context, wait time.Duration) (end storelog.Position, err error) {
 	z.mu.Lock()
 	from := z.end
 	z.mu.Unlock()
@@ -250,46 +252,47 @@
 	for i, record := range batch.Records {
 		key, value, err := platform.DecodeKeyed(record)
 		if err != nil {
-			z.logUnreadable(batch.FirstOffset+uint64(i), err)
+			z.logUnreadable(batch.First+storelog.Position(i), err)
 			continue
 		}
-		entries = z.appendDecoded(entries, key, value, batch.FirstOffset+uint64(i))
+		entries = z.appendDecoded(entries, key, value, batch.First+storelog.Position(i))
 	}
 	z.merge(entries, "store")
-	end = batch.FirstOffset + uint64(len(batch.Records))
+	end = batch.End()
 	z.advance(end)
 	return end, nil
 }
 
 // appendDecoded appends a record's entry, unless the record deletes its key or can't
 // be read.
-func (z *quarantiner) appendDecoded(entries []quarantine.Entry, key string, value []byte, offset uint64) []quarantine.Entry {
+func (z *quarantiner) appendDecoded(entries []quarantine.Entry, key string, value []byte, at storelog.Position) []quarantine.Entry {
 	if len(value) == 0 {
 		return entries
 	}
-	e, err := digest.UnmarshalStoredContent(key, value)
+	e, err := digest.UnmarshalStoredContent(key, value, at.Era())
 	if err != nil {
-		z.logUnreadable(offset, err)
+		z.logUnreadable(at, err)
 		return entries
 	}
 	return append(entries, e)
 }
 
-func (z *quarantiner) logUnreadable(offset uint64, err error) {
-	z.node.log.Failure("store", "unreadable-record", "topic", digest.ContentsTopic, "offset", offset, "error", err)
+func (z *quarantiner) logUnreadable(at storelog.Position, err error) {
+	z.node.log.Failure("store", "unreadable-record", "topic", digest.ContentsTopic, "offset", at, "error", err)
 	z.node.metrics.undecodableRecords.WithLabelValues(digest.ContentsTopic).Inc()
 }
 
-func (z *quarantiner) advance(end uint64) {
+func (z *quarantiner) advance(end storelog.Position) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.end = max(z.end, end)
 }
 
+// isListed reports whether all keys were read in the store's present era.
 func (z *quarantiner) isListed() bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return z.listed
+	return z.listed && z.end.Era() == z.node.storeEra()
 }
 
 func (z *quarantiner) setListed(listed bool) {
@@ -317,6 +320,7 @@
 }
 
 func (z *quarantiner) writeUnstored(ctx context.Context) error {
+	z.table.SetEra(z.node.storeEra())
 	_, _, holdsLease := z.node.duties.leaseState(z.node.now())
 	entries := z.table.Unstored(!z.node.members.isComplete(), holdsLease, z.now())
 	if len(entries) == 0 {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,9 @@
 	StoreAddress string
 	CloudAddress string
 
+	// FirstStart is true if all VMs of the deployment start for the first time.
+	FirstStart bool
+
 	MemoryMB float64
 	LinkMbps float64
 	Grace    time.Duration
@@ -53,6 +56,8 @@
 	equal func(a, b *Settings) bool
 }{
 	{"vm.name", false, func(a, b *Settings) bool { return a.VM == b.VM && a.AvailabilityZone == b.AvailabilityZone }},
+	// The platform sets it back once the deployment has started.
+	{"vm.first_start", true, func(a, b *Settings) bool { return a.FirstStart == b.FirstStart }},
 	{"vm.memory_mb", true, func(a, b *Settings) bool { return a.MemoryMB == b.MemoryMB }},
 	{"vm.link_mbps", false, func(a, b *Settings) bool { return a.LinkMbps == b.LinkMbps }},
 	{"vm.grace", true, func(a, b *Settings) bool { return a.Grace == b.Grace }},
@@ -91,6 +96,7 @@
 	schema := settings.NewSchema("coltsfoot-gateway")
 	schema.RequiredName("vm", "name", &s.VM, "name of this VM")
 	schema.RequiredName("vm", "availability_zone", &s.AvailabilityZone, "availability zone of this VM")
+	schema.Bool("vm", "first_start", &s.FirstStart, false, "whether all VMs of the deployment start for the first time")
 	schema.Float("vm", "memory_mb", &s.MemoryMB, 256, 64, 1<<20, "MB", "memory that the process may use")
 	schema.Float("vm", "link_mbps", &s.LinkMbps, 1000, 0, 1e6, "Mbit/s", "bandwidth of the VM's link")
 	schema.Duration("vm", "grace", &s.Grace, 8*time.Second, time.Second, time.Hour, "time from SIGTERM to the kill")
--- a/internal/protocol/digest/content.go
+++ b/internal/protocol/digest/content.go
@@ -30,9 +30,7 @@
 func MarshalContent(e *quarantine.Entry) []byte {
 	b := appendVarint(nil, fieldContentHash, e.Content)
 	b = appendVarint(b, fieldContentGeneration, uint64(e.Generation))
-	if e.Stored {
-		b = appendVarint(b, fieldContentStored, 1)
-	}
+	b = appendVarint(b, fieldContentStored, e.StoredIn)
 	b = appendVarint(b, fieldContentVouched, uint64(e.VouchedMillis))
 	var inner []byte
 	for _, ev := range e.Events {
@@ -54,7 +52,7 @@
 		case fieldContentGeneration:
 			e.Generation = uint32(clamp(v))
 		case fieldContentStored:
-			e.Stored = v != 0
+			e.StoredIn = v
 		case fieldContentVouched:
 			e.VouchedMillis = int64(v)
 		case fieldContentEvent:
@@ -90,12 +88,12 @@
 // ContentKey formats a request content's hash, for the store and for log lines.
 func ContentKey(content uint64) string { return fmt.Sprintf("%016x", content) }
 
-// UnmarshalStoredContent decodes a record of ContentsTopic.
-func UnmarshalStoredContent(key string, value []byte) (quarantine.Entry, error) {
+// UnmarshalStoredContent decodes a record of ContentsTopic that the store has in an era.
+func UnmarshalStoredContent(key string, value []byte, era uint64) (quarantine.Entry, error) {
 	e, err := UnmarshalContent(value)
 	if err == nil && ContentKey(e.Content) != key {
 		err = errors.Newf("record of key %q holds content %s", key, ContentKey(e.Content))
 	}
-	e.Stored = true
+	e.StoredIn = era + 1
 	return e, err
 }
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -9,6 +9,8 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/singleton"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 )
 
 // Field numbers of a digest. Those that describe a VM are also used in the
@@ -38,6 +40,7 @@
 	fieldMove
 	fieldHolderEnd
 	fieldContent
+	fieldStoreEra
 )
 
 const (
@@ -70,6 +73,14 @@
 	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
 }
 
+// offsetIn returns the offset of a position, 0 if it is of another era.
+func offsetIn(era uint64, p storelog.Position) uint64 {
+	if p.Era() != era {
+		return 0
+	}
+	return p.Offset()
+}
+
 // appendMessage appends a nested message.
 func appendMessage(b []byte, field protowire.Number, inner []byte) []byte {
 	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), inner)
@@ -83,9 +94,13 @@
 	b = appendVarint(b, fieldFencingToken, d.FencingToken)
 	b = appendString(b, fieldHolder, d.HolderAddress)
 	b = appendVarint(b, fieldHolderAge, d.HolderAgeMillis)
-	b = appendVarint(b, fieldHolderEnd, d.HolderEnd)
-	b = appendVarint(b, fieldDocumentEnd, d.DocumentEnd)
-	b = appendVarint(b, fieldServersEnd, d.ServersEnd)
+	// Positions are sent as offsets, to save bytes, with one era for all. A position of
+	// another era is left out: its holder is behind.
+	era := max(d.DocumentEnd, d.ServersEnd).Era()
+	b = appendVarint(b, fieldStoreEra, era)
+	b = appendVarint(b, fieldHolderEnd, offsetIn(singleton.EraOf(d.FencingToken), d.HolderEnd))
+	b = appendVarint(b, fieldDocumentEnd, offsetIn(era, d.DocumentEnd))
+	b = appendVarint(b, fieldServersEnd, offsetIn(era, d.ServersEnd))
 	b = appendVarint(b, fieldKind, uint64(d.Kind))
 	b = appendVarint(b, fieldCount, uint64(d.Count))
 	var inner []byte
@@ -178,6 +193,7 @@
 func Unmarshal(b []byte) (*gossip.Digest, error) {
 	d := &gossip.Digest{}
 	var nestedErr error
+	var era, holderEnd, documentEnd, serversEnd uint64
 	err := forEachField(b, func(num protowire.Number, v uint64, bytes []byte) {
 		if setMemberField(&d.Member, num, v, bytes) {
 			d.ReadsStore = d.ReadsStore || num == fieldFlags && v&flagReadsStore != 0
@@ -195,11 +211,13 @@
 		case fieldHolderAge:
 			d.HolderAgeMillis = clamp(v)
 		case fieldHolderEnd:
-			d.HolderEnd = v
+			holderEnd = v
 		case fieldDocumentEnd:
-			d.DocumentEnd = v
+			documentEnd = v
 		case fieldServersEnd:
-			d.ServersEnd = v
+			serversEnd = v
+		case fieldStoreEra:
+			era = v
 		case fieldKind:
 			d.Kind = gossip.Kind(clamp(v))
 		case fieldCount:
@@ -208,6 +226,10 @@
 			nestedErr = errors.CombineErrors(nestedErr, unmarshalNested(d, num, bytes))
 		}
 	})
+	d.DocumentEnd, d.ServersEnd = storelog.At(era, documentEnd), storelog.At(era, serversEnd)
+	if holderEnd > 0 {
+		d.HolderEnd = storelog.At(singleton.EraOf(d.FencingToken), holderEnd)
+	}
 	if err == nil {
 		err = nestedErr
 	}
--- a/internal/protocol/digest/digest_test.go
+++ b/internal/protocol/digest/digest_test.go
@@ -6,19 +6,20 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 )
 
 // sampleDigest returns a digest with an entry in every list.
 func sampleDigest() *gossip.Digest {
 	d := &gossip.Digest{
-		Sequence: 7, WallMillis: 1_790_000_000_000, FencingToken: 4, HolderAddress: "10.0.0.9:1", HolderAgeMillis: 30, DocumentEnd: 5, ServersEnd: 90,
+		Sequence: 7, WallMillis: 1_790_000_000_000, FencingToken: uint64(storelog.At(2, 40)), HolderEnd: storelog.At(2, 77), HolderAddress: "10.0.0.9:1", HolderAgeMillis: 30, DocumentEnd: storelog.At(2, 5), ServersEnd: storelog.At(2, 90),
 		Kind: gossip.Zone, Count: 3, ReadsStore: true,
 		Loads:          []gossip.Load{{Server: 5, PrefillTokens: 640, Running: 3, MemoryTokens: 2560}},
 		AdmittedTotals: []gossip.AdmittedTotal{{Workspace: 6, Total: 123456}},
 		Work:           []gossip.Work{{Service: 1, Millis: 77}},
 		Usage:          []gossip.Usage{{Window: 358000000, Workspace: "w", Count: 12}},
 		Moves:          []gossip.Move{{Service: 1, Order: 4, Phase: 2, NewAnswers: 5, NewFailures: 1, OldAnswers: 50, OldFailures: 2}},
-		Contents: []quarantine.Entry{{Content: 1 << 63, Generation: 2, Stored: true, VouchedMillis: 1_790_000_000_003, Events: []quarantine.Event{
+		Contents: []quarantine.Entry{{Content: 1 << 63, Generation: 2, StoredIn: 3, VouchedMillis: 1_790_000_000_003, Events: []quarantine.Event{
 			{Kind: quarantine.Ended, Server: 9, AtMillis: 1_790_000_000_001}, {Kind: quarantine.TrialStarted, AtMillis: 1_790_000_000_002}}}},
 	}
 	d.VM, d.Incarnation, d.AvailabilityZone, d.CallerAddress, d.PeerAddress, d.LinkMbps = "vm-1", 99, "zone-a", "10.0.0.1:80", "10.0.0.1:7600", 1000
--- a/internal/protocol/relayapi/relayapi.go
+++ b/internal/protocol/relayapi/relayapi.go
@@ -9,33 +9,28 @@
 
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 )
 
 // RecordsMethod is the name of the call.
 const RecordsMethod = "/coltsfootpath.Relay/Records"
 
 // RecordsRequest asks for the newest record of each key of a topic, if that record is
-// at or after offset From.
+// at or after the position From.
 type RecordsRequest struct {
-	Topic string `json:"topic"`
-	From  uint64 `json:"from"`
-}
-
-// Record is the newest record of a key. A record without a value deletes the
-// key.
-type Record struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty"`
-	Offset uint64 `json:"offset"`
+	Topic string            `json:"topic"`
+	From  storelog.Position `json:"from"`
 }
 
-// RecordsReply is the answer to a RecordsRequest. End is the offset after the
+// RecordsReply is the answer to a RecordsRequest. End is the position after the
 // last record that the peer has read.
 type RecordsReply struct {
-	Records []Record `json:"records"`
-	End     uint64   `json:"end"`
-	// Full is true if Records holds all existing keys. This is the case if the
-	// peer has not read every record since the requested offset and thus lacks
+	Records []topicview.Record `json:"records"`
+	End     storelog.Position  `json:"end"`
+	// Full is true if Records holds all existing keys. This is the case if From is of
+	// another era, or if the peer has not read every record since then and thus lacks
 	// the deleted keys.
 	Full bool `json:"full,omitempty"`
 }
