gateway: a pause was forgotten when the entry of a new process arrived

A server that had restarted was sent requests although it had asked for a pause. Cause: the pause was kept by process, and the answer of the new process was taken for one of the process that the entry in the store still named. A pause is kept by server now; it is bounded, so it may outlive its process. TestPauseIsForgottenWhenEntryOfNewProcessArrives: one request reached the server before, none now.

--- a/internal/coordination/announcements/announcements.go
+++ b/internal/coordination/announcements/announcements.go
@@ -1,7 +1,8 @@
 // Package announcements keeps what backend servers have stated about themselves in their
 // answers to this VM: that they leave, and until when they want no requests. A statement
-// binds this VM from then on, whatever a server's entry in the store says, and ends with
-// the server's process.
+// binds this VM from then on, whatever a server's entry in the store says. That a server
+// leaves ends with its process. A pause does not: the answer may come from a new process
+// whose entry has not arrived yet.
 package announcements
 
 import (
@@ -40,73 +41,63 @@
 // Table holds the statements of all servers. It is safe for concurrent use; its lock is a
 // leaf lock.
 type Table struct {
-	mu        sync.Mutex
-	byProcess map[Process]*statement
-}
-
-type statement struct {
-	Status
-	usedAt time.Time
+	mu sync.Mutex
+	// leaving holds the processes that leave, with the time at which that was last used,
+	// and pausedUntil the pauses by server ID.
+	leaving     map[Process]time.Time
+	pausedUntil map[string]time.Time
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{byProcess: map[Process]*statement{}} }
+func NewTable() *Table {
+	return &Table{leaving: map[Process]time.Time{}, pausedUntil: map[string]time.Time{}}
+}
 
 // RecordLeaving records that a server leaves, and reports whether that is new.
 func (t *Table) RecordLeaving(p Process, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.statement(p, now)
-	isNew := !s.Leaving
-	s.Leaving = true
-	return isNew
+	_, known := t.leaving[p]
+	t.leaving[p] = now
+	return !known
 }
 
 // RecordPause records that a server wants no requests for a while. It returns the end of
 // the pause, and whether the server was not paused before. Of several pauses the one that
 // ends last counts.
-func (t *Table) RecordPause(p Process, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
+func (t *Table) RecordPause(serverID string, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.statement(p, now)
-	isNew = !now.Before(s.PausedUntil)
-	if until = now.Add(min(pause, MaxPause)); until.After(s.PausedUntil) {
-		s.PausedUntil = until
+	isNew = !now.Before(t.pausedUntil[serverID])
+	if until = now.Add(min(pause, MaxPause)); until.After(t.pausedUntil[serverID]) {
+		t.pausedUntil[serverID] = until
 	}
-	return s.PausedUntil, isNew
+	return t.pausedUntil[serverID], isNew
 }
 
 // Status returns what a server has stated.
 func (t *Table) Status(p Process, now time.Time) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.byProcess[p]
-	if !ok {
-		return Status{}
+	_, leaving := t.leaving[p]
+	if leaving {
+		t.leaving[p] = now
 	}
-	s.usedAt = now
-	return s.Status
+	return Status{Leaving: leaving, PausedUntil: t.pausedUntil[p.ServerID]}
 }
 
-// Sweep forgets the statements that were not used for a long time.
+// Sweep forgets pauses that have ended, and processes that were not used for a long time.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for p, s := range t.byProcess {
-		if now.Sub(s.usedAt) > keepTime && now.After(s.PausedUntil) {
-			delete(t.byProcess, p)
+	for p, usedAt := range t.leaving {
+		if now.Sub(usedAt) > keepTime {
+			delete(t.leaving, p)
 		}
 	}
-}
-
-// statement returns the statement of a process, which it creates if there is none. The
-// caller must hold the lock.
-func (t *Table) statement(p Process, now time.Time) *statement {
-	s, ok := t.byProcess[p]
-	if !ok {
-		s = &statement{}
-		t.byProcess[p] = s
+	for id, until := range t.pausedUntil {
+		if now.After(until) {
+			delete(t.pausedUntil, id)
+		}
 	}
-	s.usedAt = now
-	return s
 }
--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -39,7 +39,7 @@
 		n.log.Failure("servers", "unreadable-retry-after", "server", process.ServerID, "service", service, "id", a.q.call.ID, "error", head.PauseErr)
 	}
 	if head.Pause > 0 {
-		if until, isNew := n.backends.recordPause(process, head.Pause, now); isNew {
+		if until, isNew := n.backends.recordPause(process.ServerID, head.Pause, now); isNew {
 			n.log.Event("servers", "paused", "server", process.ServerID, "service", service, "stated", head.Pause, "for", until.Sub(now), "id", a.q.call.ID)
 		}
 		n.metrics.announcements.WithLabelValues(service, "pause").Inc()
--- a/internal/gateway/announcements_test.go
+++ b/internal/gateway/announcements_test.go
@@ -214,3 +214,29 @@
 		f.eventually("value is logged", func() bool { return f.logs.hasLine("servers", "unreadable-retry-after", "server=a") })
 	}
 }
+
+// TestPauseIsForgottenWhenEntryOfNewProcessArrives: a server has restarted and asks for a
+// pause before its new entry has arrived.
+func TestPauseIsForgottenWhenEntryOfNewProcessArrives(t *testing.T) {
+	f := newFixture(t)
+	a := f.addServer("a", func(n int, _ platformtest.Run) platformtest.Behavior {
+		return platformtest.Behavior{Head: platformtest.HeadNotRun, RetryAfter: "30"}
+	})
+	a.RestartAfter = 50 * time.Millisecond
+	restarted := make(chan struct{})
+	a.OnRestart = func() { close(restarted) }
+	n := f.startNode("vm-1", 1)
+	a.Crash()
+	<-restarted
+	do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-1"})
+	arrivals := len(a.Arrivals())
+	f.store.Put(platform.ServersTopic, "a", a.Registration("s", "zone-a", "ready"))
+	f.eventually("the new entry is known", func() bool {
+		s := n.backends.entry("a")
+		return s != nil && s.StartedAtMillis == a.BornMillis()
+	})
+	do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-2"})
+	if got := len(a.Arrivals()); arrivals != 1 || got != arrivals {
+		t.Errorf("%d requests reached the server before its entry, %d after", arrivals, got-arrivals)
+	}
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -201,25 +201,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	isNew := t.announcements.RecordLeaving(p, now)
-	t.refreshAnnounced(p, now)
+	t.refreshAnnounced(p.ServerID, now)
 	return isNew
 }
 
-// recordPause records that a process wants no requests for a while. It returns the end of
+// recordPause records that a server wants no requests for a while. It returns the end of
 // the pause and whether it has just begun.
-func (t *backendTable) recordPause(p announcements.Process, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
+func (t *backendTable) recordPause(id string, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	until, isNew = t.announcements.RecordPause(p, pause, now)
-	t.refreshAnnounced(p, now)
+	until, isNew = t.announcements.RecordPause(id, pause, now)
+	t.refreshAnnounced(id, now)
 	return until, isNew
 }
 
-// refreshAnnounced copies what a process has stated to its server's entry. The caller must
-// hold the lock.
-func (t *backendTable) refreshAnnounced(p announcements.Process, now time.Time) {
-	if b, ok := t.byID[p.ServerID]; ok && processOf(&b.info) == p {
-		b.announced = t.announcements.Status(p, now)
+// refreshAnnounced copies what a server has stated to its entry. The caller must hold the
+// lock.
+func (t *backendTable) refreshAnnounced(id string, now time.Time) {
+	if b, ok := t.byID[id]; ok {
+		b.announced = t.announcements.Status(processOf(&b.info), now)
 	}
 }
 
