singleton: no usage windows are marked as lost at the first start of a deployment

The first claim of a new deployment marked the windows before it; four lines usage-skipped were logged at each start. Tests share the server of cut answers.

--- a/internal/coordination/singleton/singleton.go
+++ b/internal/coordination/singleton/singleton.go
@@ -356,7 +356,8 @@
 		r.InitialServers = m.state.InitialServers
 	}
 	// Only a holder of the era before knows all reports that were made in it.
-	if m.hasGap || isFirst && m.reclaimUntil.IsZero() {
+	isNewLog := m.state.Holder.VM == "" && m.cfg.IsFirstStart
+	if m.hasGap || isFirst && !isNewLog && m.reclaimUntil.IsZero() {
 		r.LostUpTo = lastWindow
 	}
 	return r
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -1,8 +1,9 @@
-// Package loopback finds free loopback addresses for processes that tests start.
+// Package loopback provides loopback addresses and listeners for tests.
 package loopback
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -40,3 +41,24 @@
 	}
 	return out, nil
 }
+
+// Serve sends the same bytes on each connection, once something was received on it, and
+// closes it.
+func Serve(answer string) (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "listen")
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, answer)
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String(), func() { _ = l.Close() }, nil
+}
