gateway: a node cut off from the store kept servers that a restored store lacks

Each failed read of its own restarted the wait for records to be written again, although a peer had passed on all there was: the node kept routes and servers that were gone until it could read the store. The wait is restarted only if no peer reads the store. TestCutOffNodeReadsOnInOldEra failed before and passes. Further tests of a restored store: all nodes restart, a quarantine is lost; they passed before.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -133,6 +133,7 @@
 		case errors.Is(err, errPeerAhead):
 		default:
 			f.recordFailure(err)
+			f.expireWithoutStore(ahead)
 			f.waitForWakeup(ctx, min(storeBackoff<<min(f.failures.Load(), 4), maxStoreBackoff))
 		}
 	}
@@ -165,9 +166,6 @@
 		f.node.log.Failure("store", "lost", "topic", f.topic, "error", err)
 	}
 	f.nextRelayAt = time.Time{}
-	f.mu.Lock()
-	f.view.Postpone(f.node.now())
-	f.mu.Unlock()
 	f.node.storeReads.setReadsStore(f.topic, false)
 }
 
@@ -211,6 +209,18 @@
 	return f.view.IsRestoring()
 }
 
+// expireWithoutStore is expire for a node that can't read the store. A peer that does may
+// have passed on all there is; otherwise the writers can't have written their records again.
+func (f *follower) expireWithoutStore(isBehind bool) {
+	if !isBehind && f.node.members.hasStoreReader() {
+		f.expire()
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Postpone(f.node.now())
+}
+
 // expire ends the time in which records of an earlier era are awaited, once it has passed.
 func (f *follower) expire() {
 	if !f.isRestoring() {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -423,6 +423,13 @@
 	return !m.core.IsReader(now) && m.core.HasStoreReader(now)
 }
 
+// hasStoreReader reports whether a peer that reads the store sends digests.
+func (m *members) hasStoreReader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.HasStoreReader(m.node.now())
+}
+
 // isComplete reports whether this node receives the state of all VMs.
 func (m *members) isComplete() bool {
 	m.mu.Lock()
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
 	"coltsfootpath.example/coltsfootpath/platform"
+	"coltsfootpath.example/coltsfootpath/platform/platformtest"
 )
 
 // addedRoute is a document with a route that documentTemplate lacks.
@@ -164,3 +166,104 @@
 	first.Close()
 	f.eventually("vm-2 holds the lease", func() bool { _, _, holds := second.duties.leaseState(second.now()); return holds })
 }
+
+// TestCutOffNodeReadsOnInOldEra: a node that the store rejects learns from a peer that the
+// store came back from a copy, and what has changed since.
+func TestCutOffNodeReadsOnInOldEra(t *testing.T) {
+	f := newFixture(t)
+	f.store.SetEra(1)
+	a := f.addServer("a", nil)
+	first := f.startNode("vm-1", 1)
+	// The second node's calls to the store go nowhere.
+	settings := f.settings("vm-2")
+	settings.StoreAddress = settings.MetricsAddress
+	second, err := Start(settings, f.logs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(second.Close)
+	second.members.add(first.members.identity())
+	f.eventually("the second node has read from its peer", func() bool { return second.Ready() && second.serverFollower.end().Era() == 1 })
+	copied := f.store.Copy()
+	f.addServer("lost", nil)
+	f.eventually("both nodes have the server", func() bool { return first.backends.count() == 2 && second.backends.count() == 2 })
+	f.store.Restore(copied)
+	f.store.Put(platform.ServersTopic, "a", a.Registration("s", "zone-a", "draining"))
+	for _, n := range []*Node{first, second} {
+		f.eventually("the node has read the new era", func() bool { return n.serverFollower.end().Era() == 2 })
+		f.eventually("the news has arrived", func() bool { s := n.backends.entry("a"); return s != nil && s.Leaving })
+		f.eventually("the server that stays away is gone", func() bool { return n.backends.entry("lost") == nil })
+	}
+}
+
+// TestUsageIsReportedTwiceAfterAllNodesRestart: the store loses the reports of the last
+// windows while all nodes restart, so that nobody knows them.
+func TestUsageIsReportedTwiceAfterAllNodesRestart(t *testing.T) {
+	f := newFixture(t)
+	f.store.SetEra(1)
+	f.addServer("a", nil)
+	start := func(incarnation string) []*Node {
+		var nodes []*Node
+		for i := range 2 {
+			settings := f.settings(fmt.Sprint("vm-", i))
+			settings.UsageWindow, settings.FirstStart = time.Second, incarnation == "first"
+			n, err := Start(settings, f.logs)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(n.Close)
+			nodes = append(nodes, n)
+		}
+		for _, n := range nodes {
+			f.eventually("node is ready", func() bool { return n.Ready() && n.members.count() == len(nodes) })
+		}
+		return nodes
+	}
+	nodes := start("first")
+	stop := steadyCalls(t, nodes[0], "/again/x", 30*time.Millisecond)
+	f.eventually("usage is reported", func() bool { return len(f.store.Windows()) > 1 })
+	copied := f.store.Copy()
+	known := len(f.store.Windows())
+	f.eventually("more usage is reported", func() bool { return len(f.store.Windows()) > known+1 })
+	stop()
+	f.store.Restore(copied)
+	for _, n := range nodes {
+		n.Close()
+	}
+	nodes = start("again")
+	stop = steadyCalls(t, nodes[1], "/again/x", 30*time.Millisecond)
+	defer stop()
+	known = len(f.store.Windows())
+	f.eventually("usage is reported in the new era", func() bool { return len(f.store.Windows()) > known+1 })
+	for _, w := range f.store.Windows() {
+		all := f.store.UsageReports(w)
+		for _, r := range all {
+			if fmt.Sprint(r.Counts) != fmt.Sprint(all[0].Counts) {
+				t.Errorf("window %d was reported as %v and as %v", w, all[0].Counts, r.Counts)
+			}
+		}
+	}
+}
+
+// TestRestoredStoreLiftsQuarantine: the record of a quarantine that the store has lost is
+// written again, by one node.
+func TestRestoredStoreLiftsQuarantine(t *testing.T) {
+	c := newCrashTrial(t, 8, platformtest.Crash)
+	c.store.SetEra(1)
+	copied := c.store.Copy()
+	c.quarantine()
+	isStored := func() bool {
+		return len(c.store.Newest(digest.ContentsTopic, digest.ContentKey(contentHash("a.example", "POST", "/again/report", "w", []byte(crashingBody))))) > 0
+	}
+	c.eventually("the quarantine is stored", isStored)
+	before := c.store.Appends(digest.ContentsTopic)
+	c.store.Restore(copied)
+	c.eventually("the quarantine is stored again", isStored)
+	time.Sleep(3 * time.Second)
+	if again := c.store.Appends(digest.ContentsTopic) - before; again > 2 {
+		t.Errorf("the record was written again %d times", again)
+	}
+	if got := c.sendCrashing(c.nodes[2], "/again/report", 99); got.status != http.StatusBadGateway {
+		t.Errorf("the request is answered with status %d", got.status)
+	}
+}
