--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -195,6 +195,7 @@
 	f.mu.Unlock()
 	if end.Era() > before.Era() && before > 0 {
 		f.node.log.Event("store", "restored", "topic", f.topic, "from", before, "end", end, "awaits-records", isRestoring)
+		f.node.metrics.restorations.WithLabelValues(f.topic).Inc()
 	}
 	for _, c := range changes {
 		f.apply(c)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	openRequests       prometheus.Gauge
 	documentVersion    prometheus.Gauge
 	storeEra           prometheus.Gauge
+	restorations       *prometheus.CounterVec
 	backendServers     prometheus.Gauge
 	members            prometheus.Gauge
 	droppedLines       *prometheus.GaugeVec
@@ -62,6 +63,7 @@
 		duties:             counter("duties_total", "Calls made for singleton duties, by duty and outcome.", "duty", "outcome"),
 		openRequests:       gauge("open_requests", "Open requests."),
 		documentVersion:    gauge("document_version", "Version of the active document."),
+		restorations:       counter("restorations_total", "Times that a topic was read anew because the platform's store came back from a copy.", "topic"),
 		storeEra:           gauge("store_era", "Highest era that the platform's store has stated."),
 		backendServers:     gauge("backend_servers", "Backend servers in the table."),
 		members:            gauge("members", "Entry VMs that share limits, including this one."),
@@ -70,6 +72,6 @@
 		}, []string{"importance"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
