gateway: a server that had announced to leave was used again when its new entry arrived

The server had restarted, and its new process announced to leave before its entry had arrived, as the store was down. The announcement was kept for the process of the old entry and so did not hold for the new one.

An announcement now holds for every process of the server that started before the answered request was sent.

--- a/internal/coordination/announcements/announcements.go
+++ b/internal/coordination/announcements/announcements.go
@@ -1,8 +1,8 @@
 // Package announcements keeps what backend servers have stated about themselves in their
 // answers to this VM: that they leave, and until when they want no requests. A statement
-// binds this VM from then on, whatever a server's entry in the store says. That a server
-// leaves ends with its process. A pause does not: the answer may come from a new process
-// whose entry has not arrived yet.
+// binds this VM from then on, whatever a server's entry in the store says. A server leaves
+// until it has a new process, which may have sent the answer before its entry arrived: it
+// is one that started after the answered request was sent.
 package announcements
 
 import (
@@ -42,24 +42,37 @@
 // leaf lock.
 type Table struct {
 	mu sync.Mutex
-	// leaving holds the processes that leave, with the time at which that was last used,
-	// and pausedUntil the pauses by server ID.
-	leaving     map[Process]time.Time
+	// leaving and pausedUntil are by server ID.
+	leaving     map[string]*leave
 	pausedUntil map[string]time.Time
 }
 
+// leave is a server's statement that it leaves.
+type leave struct {
+	// lastStartMillis is the latest start of a process that the statement may be of.
+	lastStartMillis int64
+	usedAt          time.Time
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{leaving: map[Process]time.Time{}, pausedUntil: map[string]time.Time{}}
+	return &Table{leaving: map[string]*leave{}, pausedUntil: map[string]time.Time{}}
 }
 
-// RecordLeaving records that a server leaves, and reports whether that is new.
-func (t *Table) RecordLeaving(p Process, now time.Time) bool {
+// RecordLeaving records that a server leaves, and reports whether that is new. p is the
+// process that its entry names, and sentMillis the Unix time at which the request was sent
+// whose answer states it.
+func (t *Table) RecordLeaving(p Process, sentMillis int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, known := t.leaving[p]
-	t.leaving[p] = now
-	return !known
+	l, ok := t.leaving[p.ServerID]
+	isNew := !ok || p.StartedAtMillis > l.lastStartMillis
+	if !ok {
+		l = &leave{}
+		t.leaving[p.ServerID] = l
+	}
+	l.lastStartMillis, l.usedAt = max(l.lastStartMillis, p.StartedAtMillis, sentMillis), now
+	return isNew
 }
 
 // RecordPause records that a server wants no requests for a while. It returns the end of
@@ -79,20 +92,22 @@
 func (t *Table) Status(p Process, now time.Time) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, leaving := t.leaving[p]
-	if leaving {
-		t.leaving[p] = now
+	s := Status{PausedUntil: t.pausedUntil[p.ServerID]}
+	if l, ok := t.leaving[p.ServerID]; ok {
+		l.usedAt = now
+		s.Leaving = p.StartedAtMillis <= l.lastStartMillis
 	}
-	return Status{Leaving: leaving, PausedUntil: t.pausedUntil[p.ServerID]}
+	return s
 }
 
-// Sweep forgets pauses that have ended, and processes that were not used for a long time.
+// Sweep forgets pauses that have ended, and leaving servers that were not used for a long
+// time.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for p, usedAt := range t.leaving {
-		if now.Sub(usedAt) > keepTime {
-			delete(t.leaving, p)
+	for id, l := range t.leaving {
+		if now.Sub(l.usedAt) > keepTime {
+			delete(t.leaving, id)
 		}
 	}
 	for id, until := range t.pausedUntil {
--- a/internal/coordination/announcements/announcements_test.go
+++ b/internal/coordination/announcements/announcements_test.go
@@ -10,7 +10,7 @@
 // TestTableForgetsStatement compares the table with an oracle that keeps every statement.
 func TestTableForgetsStatement(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		table, leaving, pausedUntil := NewTable(), map[Process]bool{}, map[string]time.Time{}
+		table, leftBy, pausedUntil := NewTable(), map[string]int64{}, map[string]time.Time{}
 		now := time.Unix(1_800_000_000, 0)
 		process := rapid.Custom(func(rt *rapid.T) Process {
 			return Process{ServerID: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "id"), StartedAtMillis: rapid.Int64Range(1, 2).Draw(rt, "start")}
@@ -18,10 +18,9 @@
 		rt.Repeat(map[string]func(*rapid.T){
 			"leave": func(rt *rapid.T) {
 				p := process.Draw(rt, "process")
-				if isNew := table.RecordLeaving(p, now); isNew == leaving[p] {
-					rt.Fatalf("%+v: announced before %t, new %t", p, leaving[p], isNew)
-				}
-				leaving[p] = true
+				sent := p.StartedAtMillis + rapid.Int64Range(0, 1).Draw(rt, "sent")
+				table.RecordLeaving(p, sent, now)
+				leftBy[p.ServerID] = max(leftBy[p.ServerID], sent)
 			},
 			"pause": func(rt *rapid.T) {
 				p := process.Draw(rt, "process")
@@ -39,8 +38,9 @@
 				for _, id := range []string{"a", "b"} {
 					for start := int64(1); start <= 2; start++ {
 						p := Process{id, start}
-						if got := table.Status(p, now); got.Leaving != leaving[p] || got.MaySend(now) != (!leaving[p] && !now.Before(pausedUntil[id])) {
-							rt.Fatalf("%+v: %+v, want leaving %t, paused until %v", p, got, leaving[p], pausedUntil[id])
+						leaves := start <= leftBy[id]
+						if got := table.Status(p, now); got.Leaving != leaves || got.MaySend(now) != (!leaves && !now.Before(pausedUntil[id])) {
+							rt.Fatalf("%+v: %+v, want leaving %t, paused until %v", p, got, leaves, pausedUntil[id])
 						}
 					}
 				}
--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -30,7 +30,7 @@
 	}
 	service, now := a.q.service, n.now()
 	if head.Leaving {
-		if n.backends.recordLeaving(process, now) {
+		if n.backends.recordLeaving(process, n.clock.unixMillis(a.startedAt), now) {
 			n.log.Event("servers", "announced-leaving", "server", process.ServerID, "service", service, "started", process.StartedAtMillis, "id", a.q.call.ID)
 		}
 		n.metrics.announcements.WithLabelValues(service, "leaving").Inc()
--- a/internal/gateway/announcements_test.go
+++ b/internal/gateway/announcements_test.go
@@ -240,3 +240,28 @@
 		t.Errorf("%d requests reached the server before its entry, %d after", arrivals, got-arrivals)
 	}
 }
+
+// TestAnnouncementIsForgottenWhenEntryOfNewProcessArrives: a server has restarted and states
+// that it leaves before its new entry has arrived.
+func TestAnnouncementIsForgottenWhenEntryOfNewProcessArrives(t *testing.T) {
+	f := newFixture(t)
+	a := f.addServer("a", nil)
+	a.RestartAfter = 50 * time.Millisecond
+	restarted := make(chan struct{})
+	a.OnRestart = func() { close(restarted) }
+	n := f.startNode("vm-1", 1)
+	a.Crash()
+	<-restarted
+	a.Leave()
+	if got := do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-1"}); got.status != http.StatusOK {
+		t.Fatalf("first request: %+v", got)
+	}
+	f.store.Put(platform.ServersTopic, "a", a.Registration("s", "zone-a", "ready"))
+	f.eventually("the new entry is known", func() bool {
+		s := n.backends.entry("a")
+		return s != nil && s.StartedAtMillis == a.BornMillis()
+	})
+	if got := do(t, n, call{method: "POST", path: "/once/x", key: "key-w", id: "id-2"}); got.status != http.StatusServiceUnavailable {
+		t.Errorf("second request: %+v", got)
+	}
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -195,12 +195,12 @@
 // answer. The caller must hold the table's lock.
 func (b *backend) leaves() bool { return b.info.Leaving || b.announced.Leaving }
 
-// recordLeaving records that a process has stated that it leaves, and reports whether that
-// is new.
-func (t *backendTable) recordLeaving(p announcements.Process, now time.Time) bool {
+// recordLeaving records that a server has stated that it leaves, see
+// announcements.Table.RecordLeaving.
+func (t *backendTable) recordLeaving(p announcements.Process, sentMillis int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	isNew := t.announcements.RecordLeaving(p, now)
+	isNew := t.announcements.RecordLeaving(p, sentMillis, now)
 	t.refreshAnnounced(p.ServerID, now)
 	return isNew
 }
