--- a/internal/coordination/announcements/announcements.go
+++ b/internal/coordination/announcements/announcements.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// MaxPause bounds a pause; a longer one is taken for an error of the server.
-	MaxPause = 10 * time.Minute
+	// MaxBackoff bounds a backoff; a longer one is taken for an error of the server.
+	MaxBackoff = 10 * time.Minute
 	// keepTime is the time for which a statement is kept after it was last made or
 	// looked up. An entry may be missing from the store for as long as the store is
 	// away.
@@ -30,21 +30,21 @@
 type Status struct {
 	// Leaving is true if the server must get no more requests.
 	Leaving bool
-	// PausedUntil is the time before which the server wants no requests, zero if it has
+	// BackoffUntil is the time before which the server wants no requests, zero if it has
 	// not stated one.
-	PausedUntil time.Time
+	BackoffUntil time.Time
 }
 
 // MaySend reports whether the server may be sent a request.
-func (s Status) MaySend(now time.Time) bool { return !s.Leaving && !now.Before(s.PausedUntil) }
+func (s Status) MaySend(now time.Time) bool { return !s.Leaving && !now.Before(s.BackoffUntil) }
 
 // Table holds the statements of all servers. It is safe for concurrent use; its lock is a
 // leaf lock.
 type Table struct {
 	mu sync.Mutex
-	// leaving and pausedUntil are by server ID.
-	leaving     map[string]*leave
-	pausedUntil map[string]time.Time
+	// leaving and backoffUntil are by server ID.
+	leaving      map[string]*leave
+	backoffUntil map[string]time.Time
 }
 
 // leave is a server's statement that it leaves.
@@ -56,7 +56,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{leaving: map[string]*leave{}, pausedUntil: map[string]time.Time{}}
+	return &Table{leaving: map[string]*leave{}, backoffUntil: map[string]time.Time{}}
 }
 
 // RecordLeaving records that a server leaves, and reports whether that is new. p is the
@@ -75,24 +75,23 @@
 	return isNew
 }
 
-// RecordPause records that a server wants no requests for a while. It returns the end of
-// the pause, and whether the server was not paused before. Of several pauses the one that
-// ends last counts.
-func (t *Table) RecordPause(serverID string, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
+// RecordBackoff records that a server wants no requests for a while. It returns the end of
+// the backoff, and whether the server had none before. Of several the last end counts.
+func (t *Table) RecordBackoff(serverID string, backoff time.Duration, now time.Time) (until time.Time, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	isNew = !now.Before(t.pausedUntil[serverID])
-	if until = now.Add(min(pause, MaxPause)); until.After(t.pausedUntil[serverID]) {
-		t.pausedUntil[serverID] = until
+	isNew = !now.Before(t.backoffUntil[serverID])
+	if until = now.Add(min(backoff, MaxBackoff)); until.After(t.backoffUntil[serverID]) {
+		t.backoffUntil[serverID] = until
 	}
-	return t.pausedUntil[serverID], isNew
+	return t.backoffUntil[serverID], isNew
 }
 
 // Status returns what a server has stated.
 func (t *Table) Status(p Process, now time.Time) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := Status{PausedUntil: t.pausedUntil[p.ServerID]}
+	s := Status{BackoffUntil: t.backoffUntil[p.ServerID]}
 	if l, ok := t.leaving[p.ServerID]; ok {
 		l.usedAt = now
 		s.Leaving = p.StartedAtMillis <= l.lastStartMillis
@@ -100,7 +99,7 @@
 	return s
 }
 
-// Sweep forgets pauses that have ended, and leaving servers that were not used for a long
+// Sweep forgets backoffs that have ended, and leaving servers that were not used for a long
 // time.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
@@ -110,9 +109,9 @@
 			delete(t.leaving, id)
 		}
 	}
-	for id, until := range t.pausedUntil {
+	for id, until := range t.backoffUntil {
 		if now.After(until) {
-			delete(t.pausedUntil, id)
+			delete(t.backoffUntil, id)
 		}
 	}
 }
--- a/internal/faultlab/announcements.go
+++ b/internal/faultlab/announcements.go
@@ -11,9 +11,9 @@
 	// drainTime is the time within which a node has to act on an answer that states
 	// that its server leaves.
 	drainTime = 2 * time.Second
-	// pauseGrace is the time within which a node has to act on the pause that a server
+	// backoffGrace is the time within which a node has to act on the backoff that a server
 	// asks for, and maxEarlyRequests bounds the requests that it may send after that.
-	pauseGrace       = 500 * time.Millisecond
+	backoffGrace     = 500 * time.Millisecond
 	maxEarlyRequests = 2
 )
 
@@ -40,7 +40,7 @@
 	for p, arrivals := range byProcess {
 		if p.node != "" {
 			c.verifyLeaving(p, arrivals, exchanges)
-			c.verifyPauses(p, arrivals)
+			c.verifyBackoffs(p, arrivals)
 		}
 	}
 }
@@ -60,13 +60,13 @@
 	}
 }
 
-func (c *cluster) verifyPauses(p serverProcess, arrivals []platformtest.Arrival) {
+func (c *cluster) verifyBackoffs(p serverProcess, arrivals []platformtest.Arrival) {
 	for _, asked := range arrivals {
 		seconds, err := strconv.ParseFloat(asked.Behavior.RetryAfter, 64)
 		if err != nil {
 			continue
 		}
-		start, end := asked.At.Add(pauseGrace), asked.At.Add(time.Duration(seconds*float64(time.Second)))
+		start, end := asked.At.Add(backoffGrace), asked.At.Add(time.Duration(seconds*float64(time.Second)))
 		if c.recorder.hadFault(p.node, asked.At, end) || c.recorder.hadFault(serverName(p.server), asked.At, end) {
 			continue
 		}
--- a/internal/faultlab/faultlab.go
+++ b/internal/faultlab/faultlab.go
@@ -216,7 +216,7 @@
 
 // serverFaults returns a function that selects the Behavior of a backend server for its
 // n-th request: about 1 in 20 requests gets a faulty one, half of these an answer that is
-// cut. In some seconds a server rejects all requests and asks for a pause.
+// cut. In some seconds a server rejects all requests and asks for a backoff.
 func (c *cluster) serverFaults(id string) func(int, platformtest.Run) platformtest.Behavior {
 	faulty := []platformtest.Behavior{
 		platformtest.ServerError, platformtest.RejectNotRun, platformtest.OmitSeal, platformtest.DuplicateAnswer, platformtest.OmitLength,
@@ -225,8 +225,8 @@
 		if r.Body == crashingBody {
 			return platformtest.Crash
 		}
-		if pause := c.pauseOf(id, r.At); pause > 0 {
-			return platformtest.Behavior{Head: platformtest.HeadNotRun, RetryAfter: strconv.FormatFloat(pause.Seconds(), 'f', 3, 64)}
+		if backoff := c.backoffOf(id, r.At); backoff > 0 {
+			return platformtest.Behavior{Head: platformtest.HeadNotRun, RetryAfter: strconv.FormatFloat(backoff.Seconds(), 'f', 3, 64)}
 		}
 		random := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(fmt.Sprint(id, " ", n))))
 		switch random.IntN(40) {
@@ -245,18 +245,18 @@
 	overloadPeriod = 2 * time.Second
 	overloadTime   = 300 * time.Millisecond
 	overloadShare  = 4
-	maxPause       = 1500 * time.Millisecond
+	maxBackoff     = 1500 * time.Millisecond
 )
 
-// pauseOf returns the time for which a server wants no requests at the time at, 0 if it
+// backoffOf returns the time for which a server wants no requests at the time at, 0 if it
 // wants some.
-func (c *cluster) pauseOf(id string, at time.Time) time.Duration {
+func (c *cluster) backoffOf(id string, at time.Time) time.Duration {
 	since := at.Sub(c.startedAt)
 	random := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(fmt.Sprint(id, " overload ", int(since/overloadPeriod)))))
 	if random.IntN(overloadShare) > 0 || since%overloadPeriod > overloadTime {
 		return 0
 	}
-	return time.Duration(random.Int64N(int64(maxPause)))
+	return time.Duration(random.Int64N(int64(maxBackoff)))
 }
 
 // awaitReady waits until all nodes are ready, at most for the timeout, and reports
--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -13,7 +13,7 @@
 // list, with a line on the cause.
 var seeds = []uint64{
 	// 1: after a start all servers were ramping up, and the choice of a server skipped
-	// all of them. A pause was forgotten when the entry of a new process arrived.
+	// all of them. A backoff was forgotten when the entry of a new process arrived.
 	1,
 	// 2, 3: a request that ends its servers was sent on to all of them, until the
 	// others were rarely served.
--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -35,14 +35,14 @@
 		}
 		n.metrics.announcements.WithLabelValues(service, "leaving").Inc()
 	}
-	if head.PauseErr != nil {
-		n.log.Failure("servers", "unreadable-retry-after", "server", process.ServerID, "service", service, "id", a.q.call.ID, "error", head.PauseErr)
+	if head.BackoffErr != nil {
+		n.log.Failure("servers", "unreadable-retry-after", "server", process.ServerID, "service", service, "id", a.q.call.ID, "error", head.BackoffErr)
 	}
-	if head.Pause > 0 {
-		if until, isNew := n.backends.recordPause(process.ServerID, head.Pause, now); isNew {
-			n.log.Event("servers", "paused", "server", process.ServerID, "service", service, "stated", head.Pause, "for", until.Sub(now), "id", a.q.call.ID)
+	if head.Backoff > 0 {
+		if until, isNew := n.backends.recordBackoff(process.ServerID, head.Backoff, now); isNew {
+			n.log.Event("servers", "backoff", "server", process.ServerID, "service", service, "stated", head.Backoff, "for", until.Sub(now), "id", a.q.call.ID)
 		}
-		n.metrics.announcements.WithLabelValues(service, "pause").Inc()
+		n.metrics.announcements.WithLabelValues(service, "backoff").Inc()
 	}
 }
 
@@ -67,7 +67,7 @@
 		q.finish(outcomeNotSent, "no-server")
 		return false
 	case due.After(q.waitLimit(now)):
-		q.finish(outcomeNotSent, "servers-paused")
+		q.finish(outcomeNotSent, "servers-in-backoff")
 		return false
 	}
 	sleep(ctx, min(due.Sub(now), dueCheckInterval))
--- a/internal/gateway/announcements_test.go
+++ b/internal/gateway/announcements_test.go
@@ -130,18 +130,18 @@
 // TestServerIsSentRequestsWhileItWantsNone: a server rejects requests and states for how
 // long it wants no more. It must get none until then, and no fault is held against it.
 func TestServerIsSentRequestsWhileItWantsNone(t *testing.T) {
-	const pause = 1500 * time.Millisecond
+	const backoff = 1500 * time.Millisecond
 	f := newFixture(t)
 	var mu sync.Mutex
-	var pausedAt time.Time
+	var rejectedAt time.Time
 	a := f.addServer("a", func(_ int, r platformtest.Run) platformtest.Behavior {
 		mu.Lock()
 		defer mu.Unlock()
-		if !pausedAt.IsZero() && r.At.Sub(pausedAt) > pause {
+		if !rejectedAt.IsZero() && r.At.Sub(rejectedAt) > backoff {
 			return platformtest.CompleteAnswer
 		}
-		pausedAt = r.At
-		return platformtest.Behavior{Head: platformtest.HeadNotRun, RetryAfter: fmt.Sprint(pause.Seconds())}
+		rejectedAt = r.At
+		return platformtest.Behavior{Head: platformtest.HeadNotRun, RetryAfter: fmt.Sprint(backoff.Seconds())}
 	})
 	f.addServer("b", nil)
 	n := f.startNode("vm-1", 2)
@@ -152,11 +152,11 @@
 		t.Errorf("request %d: %+v", i, replies[i])
 	}
 	arrivals := a.Arrivals()
-	if early := arrivalsBetween(arrivals, arrivals[0].At.Add(200*time.Millisecond), arrivals[0].At.Add(pause)); early > 0 {
+	if early := arrivalsBetween(arrivals, arrivals[0].At.Add(200*time.Millisecond), arrivals[0].At.Add(backoff)); early > 0 {
 		t.Errorf("%d requests reached the server in the time for which it wanted none", early)
 	}
-	if !f.logs.hasLine("servers", "paused", "server=a") {
-		t.Error("the pause is not logged")
+	if !f.logs.hasLine("servers", "backoff", "server=a") {
+		t.Error("the backoff is not logged")
 	}
 }
 
@@ -196,8 +196,8 @@
 	}
 }
 
-// TestUnreadablePauseIsObeyed: values of Retry-After that are no time are ignored.
-func TestUnreadablePauseIsObeyed(t *testing.T) {
+// TestUnreadableBackoffIsObeyed: values of Retry-After that are no time are ignored.
+func TestUnreadableBackoffIsObeyed(t *testing.T) {
 	for _, value := range []string{"soon", "-1", "NaN", "Fri, 04 Dec 2026 06:00:00 GMT"} {
 		f := newFixture(t)
 		f.addServer("a", func(n int, _ platformtest.Run) platformtest.Behavior {
@@ -215,9 +215,9 @@
 	}
 }
 
-// TestPauseIsForgottenWhenEntryOfNewProcessArrives: a server has restarted and asks for a
-// pause before its new entry has arrived.
-func TestPauseIsForgottenWhenEntryOfNewProcessArrives(t *testing.T) {
+// TestBackoffIsForgottenWhenEntryOfNewProcessArrives: a server has restarted and asks for a
+// backoff before its new entry has arrived.
+func TestBackoffIsForgottenWhenEntryOfNewProcessArrives(t *testing.T) {
 	f := newFixture(t)
 	a := f.addServer("a", func(n int, _ platformtest.Run) platformtest.Behavior {
 		return platformtest.Behavior{Head: platformtest.HeadNotRun, RetryAfter: "30"}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,7 +26,7 @@
 			n.log.Failure("attempt", "not-run-cut", "id", q.call.ID, "server", a.placed.server.id, "error", err)
 		}
 		answer.Close()
-		if head.Pause == 0 {
+		if head.Backoff == 0 {
 			q.fullServers++
 		}
 		n.backends.recordFull(a.placed, q.call.Parts, n.now())
@@ -58,8 +58,8 @@
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	failed := answer.Status >= http.StatusInternalServerError
-	// A server that asks for a pause is busy, not faulty.
-	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed && head.Pause == 0, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
+	// A server that asks for a backoff is busy, not faulty.
+	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed && head.Backoff == 0, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
 	if failed {
 		q.failedAnswer = buffered
 		if q.mayRetry() && q.stream == nil {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -205,12 +205,12 @@
 	return isNew
 }
 
-// recordPause records that a server wants no requests for a while. It returns the end of
-// the pause and whether it has just begun.
-func (t *backendTable) recordPause(id string, pause time.Duration, now time.Time) (until time.Time, isNew bool) {
+// recordBackoff records that a server wants no requests for a while. It returns the end of
+// the backoff and whether it has just begun.
+func (t *backendTable) recordBackoff(id string, backoff time.Duration, now time.Time) (until time.Time, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	until, isNew = t.announcements.RecordPause(id, pause, now)
+	until, isNew = t.announcements.RecordBackoff(id, backoff, now)
 	t.refreshAnnounced(id, now)
 	return until, isNew
 }
@@ -461,7 +461,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range t.byService[query.service] {
-		until := b.announced.PausedUntil
+		until := b.announced.BackoffUntil
 		if query.exclude[b.id] || b.leaves() || !b.removedAt.IsZero() || !query.versions.allows(&b.info) || !now.Before(until) {
 			continue
 		}
