storelog: a store that counts its eras from a large number could not be read

Positions keep 27 bits of the era; the era of a store that begins at a large number, such as a time, did not fit, and no answer had the era of its call. It is taken modulo EraCount. Found by reading. TestLargeEraMakesStoreUnreadable failed before (the node was never ready) and passes.

--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -167,6 +167,18 @@
 	f.eventually("vm-2 holds the lease", func() bool { _, _, holds := second.duties.leaseState(second.now()); return holds })
 }
 
+// TestLargeEraMakesStoreUnreadable: the store may count its eras from any number.
+func TestLargeEraMakesStoreUnreadable(t *testing.T) {
+	f := newFixture(t)
+	f.store.SetEra(1_790_000_000_000)
+	f.addServer("a", nil)
+	n := f.startNode("vm-1", 1)
+	before := n.serverFollower.end()
+	f.store.Restore(f.store.Copy())
+	f.eventually("the node reads the next era", func() bool { return n.serverFollower.end().Era() == before.Era()+1 })
+	f.eventually("the node holds the lease", func() bool { _, _, holds := n.duties.leaseState(n.now()); return holds })
+}
+
 // TestCutOffNodeReadsOnInOldEra: a node that the store rejects learns from a peer that the
 // store came back from a copy, and what has changed since.
 func TestCutOffNodeReadsOnInOldEra(t *testing.T) {
--- a/internal/state/storelog/storelog.go
+++ b/internal/state/storelog/storelog.go
@@ -5,8 +5,14 @@
 
 import "fmt"
 
-// offsetBits leaves 17 bits for the era in a number that a float64 holds exactly.
-const offsetBits = 36
+const (
+	// offsetBits leaves 17 bits for the era in a number that a float64 holds exactly.
+	offsetBits = 36
+	// EraCount is the number of eras that positions distinguish. A store may count its
+	// eras from any number, so that of an era is taken modulo EraCount. Positions are
+	// below 1<<63.
+	EraCount = 1 << 27
+)
 
 // Position is an offset in an era. Later positions are higher: those of an era are above
 // all those of earlier eras. In era 0, positions equal offsets.
