gateway: a document waited until a silent read had timed out

What callers saw: a request on an added route, or with an added key, was rejected up to 3.2 s after the document was confirmed, and dropped routes went on; the bound is 2 s.

Cause: held reads last up to 3.2 s if their connections are silent, the readers' reads begin and end together, and the other VMs rely on the readers. The bound of the users was met only if a wait of ours, longer than the bound, was ended by the store.

A relay that fails no longer lets wake-ups be ignored: the store is asked without a wait. A rejection for an unknown route or key is given only if the copy was confirmed within the bound, otherwise 503.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/freshness"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/singleton"
 	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 )
@@ -83,6 +84,9 @@
 	readsStore   bool
 	documentEnd  storelog.Position
 	serversEnd   storelog.Position
+	// documentConfirmations and serversConfirmations are the last times at which the
+	// store confirmed what the peer has read.
+	documentConfirmations, serversConfirmations confirmations
 
 	// ownTotals are the totals of the peer itself since this VM's first digest
 	// from it, over all incarnations of the peer. zoneTotals and allTotals track
@@ -91,6 +95,30 @@
 	allDigestAt                      time.Time
 }
 
+// confirmed states that the store had no records of a topic beyond end at a time.
+type confirmed struct {
+	at  time.Time
+	end storelog.Position
+}
+
+// confirmations holds what a peer's own read has confirmed last, and what the peer has
+// passed on from others as a hub.
+type confirmations struct{ own, relayed confirmed }
+
+func (c *confirmations) receive(age ConfirmationAge, end storelog.Position, kind Kind, now time.Time) {
+	if !age.Known {
+		return
+	}
+	at := now.Add(-time.Duration(age.Millis) * time.Millisecond)
+	last := &c.own
+	if kind == AllVMs {
+		last = &c.relayed
+	}
+	if at.After(last.at) {
+		*last = confirmed{at, end}
+	}
+}
+
 // counters converts totals that restart from zero with each incarnation of the
 // sender into totals that never decrease. highestTotals holds the highest total
 // received for each key since the last reset, and totalGrowth the growth of each
@@ -319,6 +347,8 @@
 	p.setMember(d.Member)
 	p.lastReceivedAt, p.unansweredSince = now, time.Time{}
 	p.readsStore, p.documentEnd, p.serversEnd = d.ReadsStore, d.DocumentEnd, d.ServersEnd
+	p.documentConfirmations.receive(d.DocumentAge, d.DocumentEnd, d.Kind, now)
+	p.serversConfirmations.receive(d.ServersAge, d.ServersEnd, d.Kind, now)
 	c.receiveHolder(d, now)
 	for _, m := range d.Members {
 		c.AddPeer(m.Identity, now)
@@ -492,19 +522,37 @@
 }
 
 // IsReader reports whether this VM must read the store on behalf of others.
-func (c *Core) IsReader(now time.Time) bool {
+func (c *Core) IsReader(now time.Time) bool { return c.ReaderRole(now).IsReader }
+
+// ReaderRole returns this VM's part in reading the store on behalf of others.
+func (c *Core) ReaderRole(now time.Time) freshness.Role {
+	r := freshness.Role{Spread: float64(c.hash%spreadSteps) / spreadSteps}
 	if !c.IsMesh(now) {
-		return c.isHub(now)
-	}
-	rank := 0
+		zones := c.zoneNames()
+		r.Readers = len(zones) * c.cfg.HubsPerZone
+		place := slices.IndexFunc(c.hubsOf(c.self.AvailabilityZone, now), func(p *peer) bool { return p.PeerAddress == c.self.PeerAddress })
+		r.IsReader = place >= 0
+		r.Rank = max(place, 0)*len(zones) + slices.Index(zones, c.self.AvailabilityZone)
+		return r
+	}
+	vms := 1
 	for _, p := range c.peers {
-		if c.isFresh(p.lastReceivedAt, now) && !p.Draining && p.hash < c.hash {
-			rank++
+		if !c.isFresh(p.lastReceivedAt, now) || p.Draining {
+			continue
+		}
+		vms++
+		if p.hash < c.hash {
+			r.Rank++
 		}
 	}
-	return rank < c.meshReaders()
+	r.Readers = min(c.meshReaders(), vms)
+	r.IsReader = r.Rank < c.meshReaders()
+	return r
 }
 
+// spreadSteps is the number of values of freshness.Role.Spread.
+const spreadSteps = 1024
+
 // meshReaders returns the number of VMs of a mesh that read the store. A VM that is
 // isolated from the store reports itself as a reader until its pending read ends,
 // so there are more readers than VMs that may be isolated at the same time.
@@ -571,6 +619,55 @@
 	return address, end
 }
 
+// Confirmation is the last time at which the store has confirmed a copy of a topic, and the
+// VM that has told so.
+type Confirmation struct {
+	At time.Time
+	VM string
+}
+
+// Confirmation returns the last time, as far as peers have told, at which the store had no
+// records of a topic beyond end. If isOwn is true, times that hubs have passed on from others
+// do not count; only those may be passed on, so that none goes round in a circle and loses
+// its age on the way.
+func (c *Core) Confirmation(inDocumentTopic bool, end storelog.Position, isOwn bool) Confirmation {
+	var last Confirmation
+	for _, p := range c.peers {
+		told := &p.serversConfirmations
+		if inDocumentTopic {
+			told = &p.documentConfirmations
+		}
+		last.update(p, told.own, end)
+		if !isOwn {
+			last.update(p, told.relayed, end)
+		}
+	}
+	return last
+}
+
+func (c *Confirmation) update(p *peer, told confirmed, end storelog.Position) {
+	if told.end.Era() == end.Era() && told.end <= end && told.at.After(c.At) {
+		*c = Confirmation{At: told.at, VM: p.VM}
+	}
+}
+
+// AgeOf returns the age of a confirmation.
+func AgeOf(at, now time.Time) ConfirmationAge {
+	if at.IsZero() {
+		return ConfirmationAge{}
+	}
+	return ConfirmationAge{Known: true, Millis: uint64(max(now.Sub(at).Milliseconds(), 0))}
+}
+
+// newerAge returns the age of the later one of two confirmations.
+func newerAge(age ConfirmationAge, at, now time.Time) ConfirmationAge {
+	other := AgeOf(at, now)
+	if !age.Known || other.Known && other.Millis < age.Millis {
+		return other
+	}
+	return age
+}
+
 // ServingPeers returns the ready peers to which callers may connect.
 func (c *Core) ServingPeers(now time.Time) []Member {
 	var out []Member
--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -67,6 +67,10 @@
 	// two topics of the store.
 	DocumentEnd storelog.Position
 	ServersEnd  storelog.Position
+	// DocumentAge and ServersAge are the times since the store last confirmed what the
+	// sender has read of the two topics.
+	DocumentAge ConfirmationAge
+	ServersAge  ConfirmationAge
 	// ReadsStore is true if the sender itself reads the store successfully.
 	ReadsStore bool
 	// Count is the number of VMs covered by the aggregate.
@@ -82,6 +86,13 @@
 	Contents []quarantine.Entry
 }
 
+// ConfirmationAge is the time since the store showed a VM that it had no further records of
+// a topic.
+type ConfirmationAge struct {
+	Known  bool
+	Millis uint64
+}
+
 // Move reports the state of a service's version move. Order is the position of the
 // operator's order for the move. NewSent and OldSent count the requests sent to the two
 // versions since then. NewAnswers and OldAnswers count the answers of the
--- a/internal/coordination/gossip/messages.go
+++ b/internal/coordination/gossip/messages.go
@@ -315,9 +315,12 @@
 	if c.sequence%c.cfg.MembersIntervalPeriods == 0 {
 		list = c.memberList(own, subscribers, now)
 	}
+	documentAge := newerAge(own.DocumentAge, c.Confirmation(true, own.DocumentEnd, true).At, now)
+	serversAge := newerAge(own.ServersAge, c.Confirmation(false, own.ServersEnd, true).At, now)
 	var out []Message
 	for _, p := range subscribers {
 		d := a.digest(own, AllVMs, p)
+		d.DocumentAge, d.ServersAge = documentAge, serversAge
 		d.Members = list
 		out = append(out, Message{To: p.PeerAddress, Digest: d})
 	}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/freshness"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
@@ -16,24 +17,18 @@
 )
 
 const (
-	// readWait bounds the time for which the store holds a read open until there
-	// is a record. A dead connection is detected after readWait + readGrace.
-	readWait  = 2500 * time.Millisecond
+	// readGrace is the time for which a read is waited for after the store should have
+	// answered it.
 	readGrace = 700 * time.Millisecond
 	// newestTimeout bounds a read of the newest record of every key.
 	newestTimeout = 2 * time.Second
-	// peerAheadGrace is the time after which a read is cancelled if a peer has
-	// reported more records. The store sends records to all its readers at the
-	// same time.
-	peerAheadGrace = 400 * time.Millisecond
 	// storeBackoff is the initial pause after a failed call, doubled up to
 	// maxStoreBackoff. The store counts rejected calls too.
 	storeBackoff    = 150 * time.Millisecond
 	maxStoreBackoff = 600 * time.Millisecond
-	// relayTimeout bounds a call to a peer that has read further. A large document
-	// takes longer if many nodes read it from a peer with a slow link.
-	relayTimeout = 300 * time.Millisecond
-	// relayTimeoutStoreDown replaces relayTimeout while the store can't be read.
+	// relayTimeoutStoreDown bounds a call to a peer that has read further while the store
+	// can't be read. A large document takes long if many nodes read it from a peer with a
+	// slow link.
 	relayTimeoutStoreDown = 2500 * time.Millisecond
 	// relayBackoff is the time for which a node reads only the store after a
 	// failed call to a peer.
@@ -57,6 +52,9 @@
 	// readPause is the pause between two reads of the store, so that records that
 	// arrive one by one are read together.
 	readPause time.Duration
+	// bound returns the time within which a record must be in force after the store has
+	// acknowledged it.
+	bound func() time.Duration
 	// apply handles a change of a key's newest value.
 	apply func(c topicview.Change)
 	// wakeups receives a value when a peer has read further.
@@ -64,22 +62,29 @@
 	// failures counts consecutive failed calls to the store.
 	failures atomic.Int32
 
-	// mu guards view, which is also read for peers.
-	mu   sync.Mutex
-	view *topicview.View
+	// mu guards view, which is also read for peers, and confirmedAt, the last time at
+	// which the store had no records beyond the view's end, as this node's own read showed.
+	mu          sync.Mutex
+	view        *topicview.View
+	confirmedAt time.Time
 
 	// The fields below are used only by the goroutine of run. synced is set while
 	// no records are missing since the last listing of all keys.
 	synced bool
+	// inStep is set if other readers may begin their next read at the same time as this
+	// node.
+	inStep bool
 	// nextRelayAt is the earliest time of the next call to a peer.
 	nextRelayAt time.Time
 }
 
-func newFollower(n *Node, topic string, pause time.Duration, version func(string, []byte) (topicview.Version, bool), apply func(topicview.Change)) *follower {
+func newFollower(n *Node, topic string, bound func() time.Duration, version func(string, []byte) (topicview.Version, bool), apply func(topicview.Change)) *follower {
 	view := topicview.New(topicview.Config{RestoreTime: restoreTime, Version: version})
-	return &follower{node: n, topic: topic, readPause: pause, apply: apply, wakeups: make(chan struct{}, 1), view: view}
+	return &follower{node: n, topic: topic, bound: bound, apply: apply, wakeups: make(chan struct{}, 1), view: view, inStep: true}
 }
 
+func (f *follower) schedule() freshness.Schedule { return freshness.Schedule{Bound: f.bound()} }
+
 // operatorRecordVersion and serverRecordVersion are the versions of the records of the two
 // topics.
 func operatorRecordVersion(key string, value []byte) (topicview.Version, bool) {
@@ -101,21 +106,26 @@
 			}
 			f.nextRelayAt = f.node.now().Add(relayBackoff)
 		}
-		if f.synced && !ahead && f.node.members.mayRelyOnReaders() {
-			f.node.storeReads.recordRead(f.topic, f.node.now())
+		role := f.node.members.readerRole()
+		doubtIn := f.doubtAt(role).Sub(f.node.now())
+		if f.synced && !ahead && doubtIn > 0 && f.node.members.mayRelyOnReaders() {
 			f.node.storeReads.setReadsStore(f.topic, false)
+			f.inStep = true
 			f.expire()
-			f.waitForWakeup(ctx, idleCheckInterval)
+			f.waitForWakeup(ctx, min(idleCheckInterval, doubtIn))
 			continue
 		}
 		if f.end().Era() < f.node.platform.Era() {
 			f.synced = false
 		}
 		var err error
-		if f.synced {
-			err = f.readStore(ctx)
-		} else {
+		switch {
+		case !f.synced:
 			err = f.readAll(ctx)
+		case ahead || doubtIn <= 0:
+			err = f.check(ctx, ahead)
+		default:
+			err = f.holdRead(ctx, role)
 		}
 		switch {
 		case err == nil:
@@ -123,6 +133,8 @@
 			f.recordSuccess()
 			f.expire()
 			sleep(ctx, f.readPause)
+		case errors.Is(err, errReadDoubted):
+			f.node.platform.DropIdleConnections()
 		case errors.Is(err, platform.ErrTrimmed):
 			f.node.log.Event("store", "records-gone", "topic", f.topic, "from", f.end())
 			f.synced = false
@@ -139,9 +151,52 @@
 	}
 }
 
-// errPeerAhead is returned by a read that was cancelled because a peer has read
-// further.
-var errPeerAhead = errors.New("a peer has read further")
+var (
+	// errPeerAhead is returned by a read that was cancelled because a peer has read
+	// further.
+	errPeerAhead = errors.New("a peer has read further")
+	// errReadDoubted is returned by a read that was cancelled because nothing has
+	// confirmed for too long that there are no further records.
+	errReadDoubted = errors.New("nothing confirms that there are no further records")
+	// errStoreBehind is returned if the store does not show the records that a peer has
+	// read.
+	errStoreBehind = errors.New("the store shows fewer records than a peer has read")
+)
+
+// confirmation returns the last time, known to this node, at which the store had no records
+// beyond those that the node has read, and the VM whose read showed that.
+func (f *follower) confirmation() gossip.Confirmation {
+	f.mu.Lock()
+	end, ownAt := f.view.End(), f.confirmedAt
+	f.mu.Unlock()
+	c := f.node.members.confirmation(f.topic, end)
+	if ownAt.After(c.At) {
+		return gossip.Confirmation{At: ownAt, VM: f.node.settings.VM}
+	}
+	return c
+}
+
+// doubtAt returns the time at which this node asks the store unless it is confirmed before
+// that there are no further records.
+func (f *follower) doubtAt(role freshness.Role) time.Time {
+	return f.confirmation().At.Add(f.schedule().DoubtAge(role))
+}
+
+// confirm records that a read of this node showed no records beyond its end at a time.
+func (f *follower) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+}
+
+// ownConfirmation returns the last time at which this node's own read confirmed its copy.
+func (f *follower) ownConfirmation() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt
+}
 
 func (f *follower) waitForWakeup(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -157,7 +212,6 @@
 	if failures := f.failures.Swap(0); failures > 0 {
 		f.node.log.Event("store", "regained", "topic", f.topic, "failures", int(failures))
 	}
-	f.node.storeReads.recordRead(f.topic, f.node.now())
 	f.node.storeReads.setReadsStore(f.topic, true)
 }
 
@@ -240,7 +294,7 @@
 // node's end offset.
 func (f *follower) readFromPeer(ctx context.Context, address string) bool {
 	from := f.end()
-	timeout := relayTimeout
+	timeout := f.schedule().RelayTimeout()
 	if f.isFailing() {
 		timeout = relayTimeoutStoreDown
 	}
@@ -255,7 +309,6 @@
 	f.expire()
 	f.node.log.Event("store", "relayed", "topic", f.topic, "peer", address, "records", len(reply.Records), "full", reply.Full, "from", from, "end", reply.End)
 	f.synced = f.end().Era() == reply.End.Era()
-	f.node.storeReads.recordRead(f.topic, f.node.now())
 	return reply.End > from
 }
 
@@ -282,6 +335,7 @@
 func (f *follower) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
+	startedAt := f.node.now()
 	items, end, err := f.listNewest(ctx)
 	if err != nil {
 		return err
@@ -291,6 +345,8 @@
 		records = append(records, topicview.Record{Key: it.Key, Value: it.Value, Position: it.Position})
 	}
 	f.update(func(v *topicview.View) []topicview.Change { return v.ApplyListing(records, end, f.node.now()) })
+	f.confirm(startedAt)
+	f.inStep = true
 	return nil
 }
 
@@ -317,42 +373,89 @@
 	return items, end, err
 }
 
-// readStore waits for new records at the store. It is cancelled if a peer reports
-// more records in the meantime.
-func (f *follower) readStore(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
+// check asks the store for new records, without waiting for any. isBehind is true if a peer
+// has reported more records.
+func (f *follower) check(ctx context.Context, isBehind bool) error {
+	startedAt, from := f.node.now(), f.end()
+	ctx, cancel := context.WithTimeout(ctx, f.schedule().CheckTimeout(int(f.failures.Load())))
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	interrupted := make(chan struct{})
-	wakeups := f.wakeups
-	if f.node.now().Before(f.nextRelayAt) {
-		// The last call to a peer failed recently, so a wakeup must not cancel
-		// the read of the store.
-		wakeups = nil
+	batch, err := f.node.platform.Read(ctx, f.topic, from, 0)
+	if err != nil {
+		return err
 	}
-	go func() {
-		select {
-		case <-wakeups:
-		case <-done:
-			return
-		}
-		select {
-		case <-time.After(peerAheadGrace):
-			close(interrupted)
-			cancel()
-		case <-done:
-		}
-	}()
-	batch, err := f.node.platform.Read(ctx, f.topic, f.end(), readWait)
+	f.applyBatch(&batch)
+	if isBehind && batch.End() == from {
+		return errStoreBehind
+	}
+	f.confirm(startedAt)
+	f.inStep = true
+	f.node.members.sendEarly()
+	return nil
+}
+
+// holdRead waits for new records at the store. It is cancelled if a peer reports more
+// records in the meantime, and if nothing confirms for too long that there are none.
+func (f *follower) holdRead(ctx context.Context, role freshness.Role) error {
+	wait := f.schedule().HoldTime(role, f.inStep)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	go f.watchRead(ctx, cancelCause, role)
+	startedAt := f.node.now()
+	batch, err := f.node.platform.Read(ctx, f.topic, f.end(), wait)
 	if err != nil {
+		if cause := context.Cause(ctx); errors.IsAny(cause, errPeerAhead, errReadDoubted) {
+			f.node.log.Event("store", "read-left", "topic", f.topic, "cause", cause, "after", f.node.now().Sub(startedAt), "confirmed-ago", f.node.now().Sub(f.confirmation().At))
+			f.node.metrics.readsLeft.WithLabelValues(f.topic, readLeftCause(cause)).Inc()
+			return cause
+		}
+		return err
+	}
+	f.applyBatch(&batch)
+	f.inStep = len(batch.Records) > 0
+	if answeredAt := f.node.now(); f.inStep || answeredAt.Sub(startedAt) >= wait {
+		f.confirm(answeredAt)
+	} else {
+		f.confirm(startedAt)
+	}
+	return nil
+}
+
+func readLeftCause(cause error) string {
+	if errors.Is(cause, errPeerAhead) {
+		return "peer-ahead"
+	}
+	return "doubted"
+}
+
+// watchRead cancels a held read with its cause, until ctx ends.
+func (f *follower) watchRead(ctx context.Context, cancel context.CancelCauseFunc, role freshness.Role) {
+	doubt := time.NewTimer(f.doubtAt(role).Sub(f.node.now()))
+	defer doubt.Stop()
+	for {
 		select {
-		case <-interrupted:
-			return errPeerAhead
-		default:
-			return err
+		case <-ctx.Done():
+			return
+		case <-f.wakeups:
+			sleep(ctx, f.schedule().WakeupGrace())
+			if _, ahead := f.peerAhead(); ahead {
+				cancel(errPeerAhead)
+				return
+			}
+		case <-doubt.C:
+			left := f.doubtAt(role).Sub(f.node.now())
+			if left <= 0 {
+				cancel(errReadDoubted)
+				return
+			}
+			doubt.Reset(left)
 		}
 	}
+}
+
+// applyBatch applies the records of a read.
+func (f *follower) applyBatch(batch *platform.Batch) {
 	records := make([]topicview.Record, 0, len(batch.Records))
 	for i, record := range batch.Records {
 		at := batch.First + storelog.Position(i)
@@ -365,7 +468,6 @@
 		records = append(records, topicview.Record{Key: key, Value: value, Position: at})
 	}
 	f.update(func(v *topicview.View) []topicview.Change { return v.ApplyRecords(records, batch.End()) })
-	return nil
 }
 
 // wakeFollowers wakes the followers of topics in which the sender of d has read
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -74,6 +74,11 @@
 	retryAfter time.Duration
 	// closeConn is set if the connection can't be reused.
 	closeConn bool
+	// documentAge is the time since the store last confirmed that there was no newer
+	// document, and confirmedBy the VM whose read showed that. They are set if the document
+	// lacks what the request needs.
+	documentAge time.Duration
+	confirmedBy string
 }
 
 const (
@@ -87,10 +92,6 @@
 	// retryAfterClosing applies to requests that reach a node which is shutting
 	// down. Other nodes accept them immediately.
 	retryAfterClosing = 50 * time.Millisecond
-	// documentStaleAfter bounds the time since the node's last read of the store.
-	// After it, the node no longer answers that a key or route does not exist,
-	// because a newer document may contain it.
-	documentStaleAfter = 4 * time.Second
 )
 
 // serve handles a request from its arrival to its final answer.
@@ -211,11 +212,13 @@
 // unknownRejection rejects a request for a key or route that the document does
 // not contain. If a newer document may contain it, the caller is asked to retry.
 func (q *request) unknownRejection(status int, reason string) *rejection {
-	isStale := q.node.now().Sub(q.node.storeReads.lastRead(platform.OperatorTopic)) > documentStaleAfter
-	if isStale || q.node.operatorFollower.isRestoring() {
-		return &rejection{status: http.StatusServiceUnavailable, reason: reason + "-while-store-away", retryAfter: retryAfterNoServer}
+	f := q.node.operatorFollower
+	c := f.confirmation()
+	rej := &rejection{status: status, reason: reason, documentAge: q.startedAt.Sub(c.At), confirmedBy: c.VM}
+	if !f.schedule().IsCertain(rej.documentAge) || f.isRestoring() {
+		rej.status, rej.reason, rej.retryAfter = http.StatusServiceUnavailable, reason+"-while-store-away", retryAfterNoServer
 	}
-	return &rejection{status: status, reason: reason}
+	return rej
 }
 
 func (q *request) readBody() *rejection {
@@ -310,6 +313,9 @@
 	q.closeIfDraining()
 	h.Set("Content-Length", "0")
 	q.w.WriteHeader(rej.status)
+	if rej.confirmedBy != "" {
+		n.log.Failure("document", "rejected-by", "id", q.call.ID, "version", q.document.Version, "reason", rej.reason, "confirmed-ago", rej.documentAge, "confirmed-by", rej.confirmedBy)
+	}
 	q.logResult("refused", rej.reason, rej.status)
 	n.metrics.requests.WithLabelValues(q.routeName(), "refused-"+rej.reason).Inc()
 	if rej.closeConn {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/freshness"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
@@ -136,10 +137,15 @@
 	*at = max(*at, end)
 	m.mu.Unlock()
 	if changed {
-		select {
-		case m.earlyDigest <- struct{}{}:
-		default:
-		}
+		m.sendEarly()
+	}
+}
+
+// sendEarly lets the next digest be sent early.
+func (m *members) sendEarly() {
+	select {
+	case m.earlyDigest <- struct{}{}:
+	default:
 	}
 }
 
@@ -226,6 +232,9 @@
 	now := m.node.now()
 	own := m.composeDigest(now)
 	own.ReadsStore = m.node.storeReads.readsStoreFor(platform.OperatorTopic, platform.ServersTopic)
+	// The ages are taken before the ends: an older confirmation also holds for a later end.
+	own.DocumentAge = gossip.AgeOf(m.node.operatorFollower.ownConfirmation(), now)
+	own.ServersAge = gossip.AgeOf(m.node.serverFollower.ownConfirmation(), now)
 	m.mu.Lock()
 	own.DocumentEnd, own.ServersEnd = m.documentEnd, m.serversEnd
 	messages := m.core.Tick(own, now)
@@ -445,6 +454,21 @@
 	return m.core.IsReader(m.node.now())
 }
 
+// readerRole returns this node's part in reading the store for others.
+func (m *members) readerRole() freshness.Role {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.ReaderRole(m.node.now())
+}
+
+// confirmation returns the last time, as far as peers have told, at which the store had no
+// records of a topic beyond end.
+func (m *members) confirmation(topic string, end storelog.Position) gossip.Confirmation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Confirmation(topic == platform.OperatorTopic, end, false)
+}
+
 // furthestReader returns the address and end offset of the peer that has read
 // furthest in a topic.
 func (m *members) furthestReader(topic string) (string, storelog.Position) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	openRequests       prometheus.Gauge
 	documentVersion    prometheus.Gauge
 	storeEra           prometheus.Gauge
+	readsLeft          *prometheus.CounterVec
+	confirmationAge    *prometheus.GaugeVec
 	restorations       *prometheus.CounterVec
 	backendServers     prometheus.Gauge
 	members            prometheus.Gauge
@@ -72,14 +74,18 @@
 		openRequests:       gauge("open_requests", "Open requests."),
 		documentVersion:    gauge("document_version", "Version of the active document."),
 		restorations:       counter("restorations_total", "Times that a topic was read anew because the platform's store came back from a copy.", "topic"),
-		storeEra:           gauge("store_era", "Highest era that the platform's store has stated."),
-		backendServers:     gauge("backend_servers", "Backend servers in the table."),
-		members:            gauge("members", "Entry VMs that share limits, including this one."),
+		readsLeft:          counter("store_reads_left_total", "Held reads of the platform's store that were cancelled before their end, by topic and cause.", "topic", "cause"),
+		confirmationAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_confirmation_age_seconds", Help: "Time since a read of any VM last showed that there are no further records in the platform's store, by topic.",
+		}, []string{"topic"}),
+		storeEra:       gauge("store_era", "Highest era that the platform's store has stated."),
+		backendServers: gauge("backend_servers", "Backend servers in the table."),
+		members:        gauge("members", "Entry VMs that share limits, including this one."),
 		droppedLines: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -152,8 +152,9 @@
 	n.quota = quota.New(quotaExtraShare * settings.QuotaSlack)
 	n.usage = usage.NewTable(usage.Source{VM: settings.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
-	n.operatorFollower = newFollower(n, platform.OperatorTopic, 0, operatorRecordVersion, n.applyOperatorRecord)
-	n.serverFollower = newFollower(n, platform.ServersTopic, serverReadPause, serverRecordVersion, n.applyServerRecord)
+	n.operatorFollower = newFollower(n, platform.OperatorTopic, func() time.Duration { return n.liveSettings.Load().DocumentBound }, operatorRecordVersion, n.applyOperatorRecord)
+	n.serverFollower = newFollower(n, platform.ServersTopic, func() time.Duration { return n.liveSettings.Load().LeaveBound }, serverRecordVersion, n.applyServerRecord)
+	n.serverFollower.readPause = serverReadPause
 	n.peerPool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.serverChecks = newServerChecks(n)
@@ -331,6 +332,11 @@
 		sleep(ctx, sweepInterval)
 		n.backends.sweep(n.now())
 		n.quarantiner.sweep()
+		for _, f := range []*follower{n.operatorFollower, n.serverFollower} {
+			if c := f.confirmation(); !c.At.IsZero() {
+				n.metrics.confirmationAge.WithLabelValues(f.topic).Set(n.now().Sub(c.At).Seconds())
+			}
+		}
 		ordinary, failures := n.log.Dropped()
 		n.metrics.droppedLines.WithLabelValues("ordinary").Set(float64(ordinary))
 		n.metrics.droppedLines.WithLabelValues("failure").Set(float64(failures))
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -28,10 +28,6 @@
 	// orderTimeout bounds one order. The platform answers within milliseconds or not
 	// at all.
 	orderTimeout = 500 * time.Millisecond
-	// maxEntryAge bounds the time since the last read of the servers' topic.
-	// After it, the topic's entries are not relied on. A read that returns no
-	// records takes this long.
-	maxEntryAge = readWait + readGrace
 	// registrationTime is the time that a booted server needs at most to appear in the
 	// store and at this node.
 	registrationTime = 3 * time.Second
@@ -203,10 +199,11 @@
 	return out
 }
 
-// entriesOutdated reports whether servers may have registered or left since this node
-// last read the store.
+// entriesOutdated reports whether servers may have registered or left long ago without this
+// node's knowledge.
 func (o *orderer) entriesOutdated(now time.Time) bool {
-	return o.node.serverFollower.isFailing() || now.Sub(o.node.storeReads.lastRead(platform.ServersTopic)) > maxEntryAge
+	f := o.node.serverFollower
+	return f.isFailing() || !f.schedule().IsCertain(now.Sub(f.confirmation().At))
 }
 
 // recordIneffective records the accepted orders that have started no server within the
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -19,8 +19,10 @@
 
 const (
 	// contentsReadWait is the time for which the store holds a read of the topic of
-	// contents open. While this node lacks digests of some VMs, readWait replaces it.
+	// contents open. While this node lacks digests of some VMs, partialReadWait replaces
+	// it.
 	contentsReadWait = 10 * time.Second
+	partialReadWait  = 2500 * time.Millisecond
 	// contentsWriteInterval is the interval at which new quarantines are stored.
 	contentsWriteInterval = 200 * time.Millisecond
 	// maxContentsPerWrite bounds the records of one append.
@@ -279,7 +281,7 @@
 		}
 		wait := contentsReadWait
 		if !complete {
-			wait = readWait
+			wait = partialReadWait
 		}
 		err := z.readNews(ctx, wait)
 		switch {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,12 @@
 	StoreAddress string
 	CloudAddress string
 
+	// DocumentBound is the time from the store's acknowledgement of a document until it is
+	// in force at every VM, and LeaveBound that of a server's announcement to leave until no
+	// VM sends it requests.
+	DocumentBound time.Duration
+	LeaveBound    time.Duration
+
 	// FirstStart is true if all VMs of the deployment start for the first time.
 	FirstStart bool
 
@@ -67,6 +73,7 @@
 	{"listen.seeds", true, func(a, b *Settings) bool { return a.SeedAddresses == b.SeedAddresses }},
 	{"listen.address_keep", true, func(a, b *Settings) bool { return a.AddressTTL == b.AddressTTL }},
 	{"platform", true, func(a, b *Settings) bool { return a.StoreAddress == b.StoreAddress && a.CloudAddress == b.CloudAddress }},
+	{"platform.bounds", true, func(a, b *Settings) bool { return a.DocumentBound == b.DocumentBound && a.LeaveBound == b.LeaveBound }},
 	{"duties.lease", false, func(a, b *Settings) bool { return a.Lease == b.Lease }},
 	{"duties.usage_window", false, func(a, b *Settings) bool { return a.UsageWindow == b.UsageWindow }},
 	{"duties.usage_late", true, func(a, b *Settings) bool { return a.UsageReportTimeout == b.UsageReportTimeout }},
@@ -108,6 +115,8 @@
 	schema.OptionalText("listen", "seeds", &s.SeedAddresses, "comma-separated addresses of a few other entry VMs; the port is that of listen.peers")
 	schema.RequiredAddress("platform", "store", &s.StoreAddress, "address of the platform's store")
 	schema.RequiredAddress("platform", "cloud", &s.CloudAddress, "address for orders and usage reports")
+	schema.Duration("platform", "document_bound", &s.DocumentBound, 2*time.Second, 500*time.Millisecond, time.Minute, "maximum time from the store's acknowledgement of a document until it is in force at every VM")
+	schema.Duration("platform", "leave_bound", &s.LeaveBound, 2*time.Second, 500*time.Millisecond, time.Minute, "maximum time from the acknowledgement that a server leaves until no VM sends it requests")
 	schema.Duration("duties", "lease", &s.Lease, 3*time.Second, 100*time.Millisecond, time.Hour, "duration of the lease for the singleton duties")
 	schema.Duration("duties", "usage_window", &s.UsageWindow, 5*time.Second, time.Second, time.Hour, "length of a usage window")
 	schema.Duration("duties", "usage_late", &s.UsageReportTimeout, 10*time.Second, time.Second, time.Hour, "maximum time from the end of a usage window to its report")
--- a/internal/gateway/store_reads.go
+++ b/internal/gateway/store_reads.go
@@ -1,21 +1,14 @@
 package gateway
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
-// storeReads records when each topic was last read, and whether it was read from
-// the store itself or from a peer.
+// storeReads records which topics this node reads from the store itself.
 type storeReads struct {
 	mu         sync.Mutex
-	lastReadAt map[string]time.Time
 	readsStore map[string]bool
 }
 
-func newStoreReads() *storeReads {
-	return &storeReads{lastReadAt: map[string]time.Time{}, readsStore: map[string]bool{}}
-}
+func newStoreReads() *storeReads { return &storeReads{readsStore: map[string]bool{}} }
 
 // setReadsStore records whether this node's last read of a topic was a successful
 // read from the store itself.
@@ -37,15 +30,3 @@
 	}
 	return true
 }
-
-func (s *storeReads) recordRead(topic string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastReadAt[topic] = now
-}
-
-func (s *storeReads) lastRead(topic string) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastReadAt[topic]
-}
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -41,6 +41,8 @@
 	fieldHolderEnd
 	fieldContent
 	fieldStoreEra
+	fieldDocumentAge
+	fieldServersAge
 )
 
 const (
@@ -81,6 +83,22 @@
 	return p.Offset()
 }
 
+// appendAge appends an age of a confirmation, plus 1, unless it is not known.
+func appendAge(b []byte, field protowire.Number, age gossip.ConfirmationAge) []byte {
+	if !age.Known {
+		return b
+	}
+	return appendVarint(b, field, min(age.Millis, math.MaxInt32-1)+1)
+}
+
+// decodeAge decodes a value that appendAge has appended.
+func decodeAge(v uint64) gossip.ConfirmationAge {
+	if v == 0 {
+		return gossip.ConfirmationAge{}
+	}
+	return gossip.ConfirmationAge{Known: true, Millis: clamp(v) - 1}
+}
+
 // appendMessage appends a nested message.
 func appendMessage(b []byte, field protowire.Number, inner []byte) []byte {
 	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), inner)
@@ -101,6 +119,8 @@
 	b = appendVarint(b, fieldHolderEnd, offsetIn(singleton.EraOf(d.FencingToken), d.HolderEnd))
 	b = appendVarint(b, fieldDocumentEnd, offsetIn(era, d.DocumentEnd))
 	b = appendVarint(b, fieldServersEnd, offsetIn(era, d.ServersEnd))
+	b = appendAge(b, fieldDocumentAge, d.DocumentAge)
+	b = appendAge(b, fieldServersAge, d.ServersAge)
 	b = appendVarint(b, fieldKind, uint64(d.Kind))
 	b = appendVarint(b, fieldCount, uint64(d.Count))
 	var inner []byte
@@ -224,6 +244,10 @@
 			serversEnd = v
 		case fieldStoreEra:
 			era = v
+		case fieldDocumentAge:
+			d.DocumentAge = decodeAge(v)
+		case fieldServersAge:
+			d.ServersAge = decodeAge(v)
 		case fieldKind:
 			d.Kind = gossip.Kind(clamp(v))
 		case fieldCount:
