faultlab: documents beside connections to the store that fall silent for good

Each request must be handled as a version allows that may be in force: none older than one acknowledged 3 s before, nor than one that the process has shown.

--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -74,3 +74,10 @@
 	// 305: the bodies that all servers sent at once took more memory than the VM has.
 	runSeed(t, Options{Seed: 305, Processes: 2, Scenario: ScenarioEndless, Binary: buildGateway(t), RoundDuration: 10 * time.Second})
 }
+
+// TestDocumentsBesideSilentStore runs a short round of ScenarioDocuments.
+func TestDocumentsBesideSilentStore(t *testing.T) {
+	t.Parallel()
+	// 3: a document came in force only after the silent reads of all readers had timed out.
+	runSeed(t, Options{Seed: 3, Processes: 6, Scenario: ScenarioDocuments, Binary: buildGateway(t), RoundDuration: 10 * time.Second})
+}
