faultlab: servers that name limits

Limits of 0 to 10 a second, changed and ended at random, on one to six servers, beside kills, SIGTERM, freezes and faults of the store and of servers; callers ask for more than the limits allow, some nodes get few requests. Requests of nodes with a fault within 3 s do not count.

--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -81,3 +81,10 @@
 	// 3: a document came in force only after the silent reads of all readers had timed out.
 	runSeed(t, Options{Seed: 3, Processes: 6, Scenario: ScenarioDocuments, Binary: buildGateway(t), RoundDuration: 10 * time.Second})
 }
+
+// TestServersNameLimits runs a short round of ScenarioLimits.
+func TestServersNameLimits(t *testing.T) {
+	t.Parallel()
+	// 2: limits were not known, and servers got as many requests as before.
+	runSeed(t, Options{Seed: 2, Processes: 4, Scenario: ScenarioLimits, Binary: buildGateway(t), RoundDuration: 10 * time.Second})
+}
