gateway, ctl: a rejection because of limits names them

Log line servers no-room with each limit and its age, how many requests are ahead and when there will be room; coltsfootctl explain adds the statements about these servers.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -59,6 +59,8 @@
 var (
 	serverPattern = regexp.MustCompile(`\bserver=(\S+)`)
 	trailPattern  = regexp.MustCompile(`\btrail=(\S+)`)
+	// limitsPattern matches the limited servers that had no room for a request.
+	limitsPattern = regexp.MustCompile(`\blimits=(\S+)`)
 	// contentPattern matches the request content in a line of the content part.
 	contentPattern = regexp.MustCompile(`^\S+ content .*\bcontent=(\w+)`)
 	// partPattern matches a quarantined part of prompts and its key.
@@ -88,7 +90,8 @@
 		for _, m := range serverPattern.FindAllStringSubmatch(l, -1) {
 			servers[m[1]] = true
 		}
-		for _, m := range trailPattern.FindAllStringSubmatch(l, -1) {
+		lists := append(trailPattern.FindAllStringSubmatch(l, -1), limitsPattern.FindAllStringSubmatch(l, -1)...)
+		for _, m := range lists {
 			for step := range strings.SplitSeq(m[1], ",") {
 				name, _, _ := strings.Cut(step, ":")
 				servers[name] = true
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -50,6 +50,15 @@
 		strings.Contains(out.String(), "id=r-21") || strings.Contains(out.String(), "part-released") {
 		t.Errorf("losses of the part: got %s", out.String())
 	}
+	lines = append(lines,
+		"2026-01-01T00:00:01.000Z servers limit server=s-5 service=s per-second=1.4 source=r-30",
+		"2026-01-01T00:00:01.000Z servers limit server=s-6 service=t per-second=2 source=r-31",
+		"2026-01-01T00:00:06.000Z servers no-room id=r-32 service=s ahead=3 room-in=2100ms granter=10.0.0.1:1 limits=s-5:1.4:800ms",
+		"2026-01-01T00:00:06.000Z request refused id=r-32 reason=servers-limited status=503 trail=-")
+	out.Reset()
+	if !explain("r-32", lines, &out) || !strings.Contains(out.String(), "source=r-30") || strings.Contains(out.String(), "source=r-31") {
+		t.Errorf("limits of the request's servers: got %s", out.String())
+	}
 	if explain("r-2", lines, &out) {
 		t.Error("found a request that no line mentions")
 	}
--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -77,6 +77,9 @@
 		q.finish(outcomeNotSent, "no-server")
 		return false
 	case due.After(limit):
+		if isLimit {
+			q.node.limits.logNoRoom(q, due.Sub(now))
+		}
 		q.finish(outcomeNotSent, reason)
 		return false
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -73,13 +74,29 @@
 	return false
 }
 
+// lastLines returns the last lines of the log.
+func (l *logBuffer) lastLines(count int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines := slices.Collect(strings.Lines(l.text.String()))
+	return strings.Join(lines[max(len(lines)-count, 0):], "")
+}
+
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, store: platformtest.NewStore(), logs: &logBuffer{}}
 	t.Cleanup(f.store.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.logs.lastLines(loggedLines))
+		}
+	})
 	f.putDocument(1)
 	return f
 }
 
+// loggedLines is the number of the nodes' last log lines that a failed test prints.
+const loggedLines = 150
+
 func (f *fixture) putDocument(version int) {
 	f.store.Put(platform.OperatorTopic, platform.DocumentKey, documentJSON(version))
 }
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,6 +81,21 @@
 	l.node.log.Event("servers", "limit", "server", server, "service", service, "per-second", s.Rate, "source", source)
 }
 
+// logNoRoom logs the limits because of which a request is rejected: the limit of each server
+// and the time since it was last stated, to any VM. room is the time until there will be room.
+func (l *serverLimits) logNoRoom(q *request, room time.Duration) {
+	n, nowMillis := l.node, l.node.clock.unixMillis(l.node.now())
+	statements := l.table.Limits()
+	var limits []string
+	for _, s := range n.backends.servers(q.service) {
+		if x, limited := statements[shortHash(s.ID)]; limited {
+			limits = append(limits, fmt.Sprintf("%s:%g:%dms", s.ID, x.Rate, nowMillis-x.At))
+		}
+	}
+	slices.Sort(limits)
+	n.log.Failure("servers", "no-room", "id", q.call.ID, "service", q.service, "ahead", l.line.Ahead(q.service, q.room.place, q.priority()), "room-in", room, "granter", n.members.granter(), "limits", strings.Join(limits, ","))
+}
+
 // takePermit gets a permit for an attempt on a server that has named a limit, and reports
 // whether the request may be sent there.
 func (l *serverLimits) takePermit(ctx context.Context, p *placedAttempt, parts []platform.Part) bool {
