gateway: a claim whose answer was lost delayed a trial for two minutes

Traced: the claim of a trial is a conditional append; if its answer is lost or takes over 0.5 s, the record is there, no VM runs the trial, and it counts as failed, so that the next one is due 2 min after the last loss.

The VM now reads whether its record is at the position of the claim. Callers got 502 for a repaired request for two minutes. TestLostAnswerToClaimDelaysTrial failed before (2 of 2) and passes (2 of 2).

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -121,18 +122,18 @@
 		return false
 	}
 	defer z.claim.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
 	defer cancel()
 	if !z.isListed() {
 		return false
 	}
-	end, err := z.read(ctx, 0)
+	end, err := z.read(callCtx, 0)
 	if err == nil {
 		if !z.table.IsTrialDue(units, z.now()) {
 			return false
 		}
 		entry := z.table.TrialEntry(units[0], z.now())
-		if _, err = z.node.platform.AppendAt(ctx, digest.ContentsTopic, encodeContent(&entry), end); err == nil {
+		if err = z.appendClaim(callCtx, ctx, encodeContent(&entry), end); err == nil {
 			z.table.Merge([]quarantine.Entry{entry}, quarantine.SourceSelf, z.now())
 			z.table.MarkStored([]quarantine.Entry{entry})
 			z.table.StartTrials(units[1:], z.now())
@@ -148,6 +149,25 @@
 	return false
 }
 
+// appendClaim appends a record at the position end. If no answer arrives while callCtx lasts, it
+// reads whether the record is there.
+func (z *quarantiner) appendClaim(callCtx, ctx context.Context, record []byte, end storelog.Position) error {
+	_, err := z.node.platform.AppendAt(callCtx, digest.ContentsTopic, record, end)
+	if !errors.Is(err, platform.ErrUnknown) {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+	defer cancel()
+	batch, readErr := z.node.platform.Read(ctx, digest.ContentsTopic, end, 0)
+	switch {
+	case readErr != nil:
+		return errors.CombineErrors(err, readErr)
+	case len(batch.Records) > 0 && bytes.Equal(batch.Records[0], record):
+		return nil
+	}
+	return err
+}
+
 // describe returns what log lines state about a unit.
 func (z *quarantiner) describe(unit uint64) []any {
 	e, ok := z.table.Entry(unit, z.now())
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -285,6 +285,28 @@
 	}
 }
 
+// TestLostAnswerToClaimDelaysTrial loses the store's answer to the claim of the first trial,
+// which was written.
+func TestLostAnswerToClaimDelaysTrial(t *testing.T) {
+	t.Parallel()
+	c := newCrashTrial(t, 8, platformtest.Crash)
+	c.quarantine()
+	c.mu.Lock()
+	c.behavior = platformtest.CompleteAnswer
+	c.mu.Unlock()
+	c.eventually("quarantine is stored", func() bool { return c.logs.hasLine("content stored") })
+	// All servers have registered again by then.
+	time.Sleep(time.Second)
+	stored := c.store.Appends(digest.ContentsTopic)
+	c.store.SetFaults(logservice.Faults{AnswerLossRatio: 1})
+	c.eventually("request is served", func() bool {
+		if c.store.Appends(digest.ContentsTopic) > stored {
+			c.store.SetFaults(logservice.Faults{})
+		}
+		return do(t, c.nodes[0], call{method: "POST", path: "/again/report", key: "key-w", id: "repaired", body: crashingBody}).status == http.StatusOK
+	})
+}
+
 // TestLeavingServersAreTakenForCrashed ends three servers that had announced it.
 func TestLeavingServersAreTakenForCrashed(t *testing.T) {
 	t.Parallel()
