--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -387,9 +387,11 @@
 	if isBehind && batch.End() == from {
 		return errStoreBehind
 	}
-	f.confirm(startedAt)
 	f.inStep = true
-	f.node.members.sendEarly()
+	if batch.IsLast {
+		f.confirm(startedAt)
+		f.node.members.sendEarly()
+	}
 	return nil
 }
 
@@ -414,9 +416,12 @@
 	}
 	f.applyBatch(&batch)
 	f.inStep = len(batch.Records) > 0
-	if answeredAt := f.node.now(); f.inStep || answeredAt.Sub(startedAt) >= wait {
+	answeredAt := f.node.now()
+	switch {
+	case !batch.IsLast:
+	case f.inStep || answeredAt.Sub(startedAt) >= wait:
 		f.confirm(answeredAt)
-	} else {
+	default:
 		f.confirm(startedAt)
 	}
 	return nil
