--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -70,7 +70,9 @@
 	if isLimit {
 		// Many requests may wait for the same room.
 		due, reason = q.expectedRoom(due, now), "servers-limited"
-		limit = earlier(limit, q.startedAt.Add(q.route.LatencyTarget))
+		if q.sentCount == 0 {
+			limit = earlier(limit, q.startedAt.Add(q.route.LatencyTarget))
+		}
 	}
 	switch {
 	case !ok:
