--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -129,6 +129,7 @@
 		health:    h,
 
 		announcements: announcements.NewTable(),
+		limits:        serverlimit.NewTable(newRandom()),
 	}
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -166,7 +166,6 @@
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
 	n.limits = newServerLimits(n)
 	n.backends.members = n.members.count
-	n.backends.limits = n.limits.table
 	n.backends.serviceConfig = n.serviceConfig
 	return n
 }
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -35,7 +35,7 @@
 }
 
 func newServerLimits(n *Node) *serverLimits {
-	return &serverLimits{node: n, table: serverlimit.NewTable(newRandom()), granter: serverlimit.NewGranter(), line: serverlimit.NewLine()}
+	return &serverLimits{node: n, table: n.backends.limits, granter: serverlimit.NewGranter(), line: serverlimit.NewLine()}
 }
 
 // observe records what an answer tells about the limit of the server that sent it.
