gateway, faultlab: requests without a limit skip the count of VMs; one function sends

The number of VMs is counted only for requests that need a permit. The scenarios share the function that sends a request and records its result.

--- a/internal/faultlab/documents.go
+++ b/internal/faultlab/documents.go
@@ -90,11 +90,7 @@
 				s.mu.Unlock()
 				path := versionRoute(max(newest-random.IntN(documentPathAge), 1)) + "x"
 				request := platformtest.Request{ID: fmt.Sprintf("%d-%d-%d", s.seed, i, k), Method: http.MethodGet, Path: path, Key: platformtest.Key, Timeout: requestTimeout}
-				requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
-				sentAt := time.Now()
-				result := caller.Do(requestCtx, request)
-				cancel()
-				s.recorder.add(n.name, request, sentAt, result)
+				s.ask(ctx, n, caller.Do, request)
 				time.Sleep(time.Duration(random.Int64N(int64(maxRequestPause))))
 			}
 		})
--- a/internal/faultlab/limits.go
+++ b/internal/faultlab/limits.go
@@ -76,11 +76,7 @@
 				for m := 0; ctx.Err() == nil; m++ {
 					id := fmt.Sprintf("%d-%d-%d-%d", s.seed, i, k, m)
 					request := platformtest.Request{ID: id, Method: http.MethodPost, Path: paths[random.IntN(len(paths))] + "x", Key: platformtest.Key, Body: id, Timeout: requestTimeout}
-					requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
-					sentAt := time.Now()
-					result := caller.Do(requestCtx, request)
-					cancel()
-					s.recorder.add(n.name, request, sentAt, result)
+					s.ask(ctx, n, caller.Do, request)
 					time.Sleep(time.Duration(random.Int64N(int64(pause))))
 				}
 			})
--- a/internal/faultlab/verify.go
+++ b/internal/faultlab/verify.go
@@ -92,19 +92,25 @@
 			path = platformtest.AddedPath
 		}
 		request := platformtest.Request{ID: fmt.Sprintf("%s-%d", name, n), Method: http.MethodPost, Path: path + "x", Key: platformtest.Key, Body: "body of " + name, Timeout: requestTimeout}
-		requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
 		send := caller.Do
 		if random.IntN(http10Share) == 0 {
 			send = caller.DoHTTP10
 		}
-		sentAt := time.Now()
-		result := send(requestCtx, request)
-		cancel()
-		c.recorder.add(target.name, request, sentAt, result)
+		c.ask(ctx, target, send, request)
 		time.Sleep(time.Duration(random.Int64N(int64(maxRequestPause))))
 	}
 }
 
+// ask sends a request to a node and records its result. It waits for the answer also if ctx
+// has ended.
+func (c *cluster) ask(ctx context.Context, target *node, send func(context.Context, platformtest.Request) platformtest.Answer, request platformtest.Request) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	result := send(ctx, request)
+	c.recorder.add(target.name, request, sentAt, result)
+}
+
 // report holds the counts and the violations of one round.
 type report struct {
 	requests, served, failed, rejected, interrupted int
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -101,6 +101,9 @@
 func (l *serverLimits) takePermit(ctx context.Context, p *placedAttempt, parts []platform.Part) bool {
 	n, now := l.node, l.node.now()
 	service := p.server.service
+	if _, limited := l.table.Rate(p.server.shortHash, p.info.StartedAtMillis); !limited {
+		return true
+	}
 	ask, s := l.table.Begin(p.server.shortHash, p.info.StartedAtMillis, n.members.count(), now)
 	granted := false
 	switch ask {
