--- a/internal/coordination/serverlimit/line.go
+++ b/internal/coordination/serverlimit/queue.go
@@ -7,21 +7,21 @@
 	"time"
 )
 
-// Line orders the requests of one VM that wait for room at a service's limited servers: the
+// Queue orders the requests of one VM that wait for room at a service's limited servers: the
 // most urgent first, then the first come. It is safe for concurrent use; its lock is a leaf
 // lock.
-type Line struct {
+type Queue struct {
 	mu       sync.Mutex
-	services map[string]*serviceLine
+	services map[string]*serviceQueue
 }
 
-type serviceLine struct {
+type serviceQueue struct {
 	waiters []*Waiter
 	// granted holds the times of the last permits.
 	granted []time.Time
 }
 
-// Waiter is a request in a line.
+// Waiter is a request in a queue.
 type Waiter struct {
 	service  string
 	priority int
@@ -31,24 +31,24 @@
 // maxGrantTimes is the number of permits from which the time between two is estimated.
 const maxGrantTimes = 8
 
-// NewLine returns an empty line.
-func NewLine() *Line { return &Line{services: map[string]*serviceLine{}} }
+// NewQueue returns an empty queue.
+func NewQueue() *Queue { return &Queue{services: map[string]*serviceQueue{}} }
 
-func (l *Line) of(service string) *serviceLine {
-	s := l.services[service]
+func (q *Queue) of(service string) *serviceQueue {
+	s := q.services[service]
 	if s == nil {
-		s = &serviceLine{}
-		l.services[service] = s
+		s = &serviceQueue{}
+		q.services[service] = s
 	}
 	return s
 }
 
 // Join adds a request. Lower priorities come first.
-func (l *Line) Join(service string, priority int, now time.Time) *Waiter {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (q *Queue) Join(service string, priority int, now time.Time) *Waiter {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	w := &Waiter{service, priority, now}
-	s := l.of(service)
+	s := q.of(service)
 	i, _ := slices.BinarySearchFunc(s.waiters, w, func(a, b *Waiter) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), a.at.Compare(b.at), -1)
 	})
@@ -57,19 +57,19 @@
 }
 
 // Leave removes a request.
-func (l *Line) Leave(w *Waiter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.of(w.service)
+func (q *Queue) Leave(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.of(w.service)
 	s.waiters = slices.DeleteFunc(s.waiters, func(x *Waiter) bool { return x == w })
 }
 
 // Ahead returns the number of requests that come before w, or before a new request with the
 // priority if w is nil.
-func (l *Line) Ahead(service string, w *Waiter, priority int) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.services[service]
+func (q *Queue) Ahead(service string, w *Waiter, priority int) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.services[service]
 	if s == nil {
 		return 0
 	}
@@ -86,20 +86,20 @@
 }
 
 // Granted records that this VM got a permit for a server of the service.
-func (l *Line) Granted(service string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.of(service)
+func (q *Queue) Granted(service string, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.of(service)
 	s.granted = append(s.granted, now)
 	s.granted = s.granted[max(len(s.granted)-maxGrantTimes, 0):]
 }
 
 // Interval returns the expected time between two permits of this VM. even is that of an even
 // share, which is used until there were enough.
-func (l *Line) Interval(service string, even time.Duration, now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.services[service]
+func (q *Queue) Interval(service string, even time.Duration, now time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.services[service]
 	if s == nil || len(s.granted) < maxGrantTimes {
 		return even
 	}
--- a/internal/coordination/serverlimit/serverlimit_test.go
+++ b/internal/coordination/serverlimit/serverlimit_test.go
@@ -225,10 +225,10 @@
 	}
 }
 
-// TestUrgentRequestWaitsBehindOthers: the line is in the order of priority, then of arrival.
+// TestUrgentRequestWaitsBehindOthers: the queue is in the order of priority, then of arrival.
 func TestUrgentRequestWaitsBehindOthers(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	l := NewLine()
+	l := NewQueue()
 	first, second, urgent := l.Join("s", 5, now), l.Join("s", 5, now.Add(time.Second)), l.Join("s", 2, now.Add(2*time.Second))
 	for w, want := range map[*Waiter]int{urgent: 0, first: 1, second: 2} {
 		if got := l.Ahead("s", w, w.priority); got != want {
--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	if isLimit {
-		q.joinLine(now)
+		q.joinQueue(now)
 	}
 	sleep(ctx, min(max(due.Sub(now), minRoomCheckInterval), dueCheckInterval))
 	return true
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,7 +152,7 @@
 	q.progressAt = q.startedAt
 	defer q.refundIfNotRun()
 	defer q.holdAnswer(nil)
-	defer q.leaveLine()
+	defer q.leaveQueue()
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
 	for {
@@ -199,7 +199,7 @@
 		n.backends.release(p)
 		return false
 	}
-	q.leaveLine()
+	q.leaveQueue()
 	q.choices++
 	isRetry := q.sentCount > 0
 	if isRetry && !n.retries.Take(q.service, now) {
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -31,11 +31,11 @@
 	node    *Node
 	table   *serverlimit.Table
 	granter *serverlimit.Granter
-	line    *serverlimit.Line
+	queue   *serverlimit.Queue
 }
 
 func newServerLimits(n *Node) *serverLimits {
-	return &serverLimits{node: n, table: n.backends.limits, granter: serverlimit.NewGranter(), line: serverlimit.NewLine()}
+	return &serverLimits{node: n, table: n.backends.limits, granter: serverlimit.NewGranter(), queue: serverlimit.NewQueue()}
 }
 
 // observe records what an answer tells about the limit of the server that sent it.
@@ -93,7 +93,7 @@
 		}
 	}
 	slices.Sort(limits)
-	n.log.Failure("servers", "no-room", "id", q.call.ID, "service", q.service, "ahead", l.line.Ahead(q.service, q.room.place, q.priority()), "room-in", room, "granter", n.members.granter(), "limits", strings.Join(limits, ","))
+	n.log.Failure("servers", "no-room", "id", q.call.ID, "service", q.service, "ahead", l.queue.Ahead(q.service, q.room.place, q.priority()), "room-in", room, "granter", n.members.granter(), "limits", strings.Join(limits, ","))
 }
 
 // takePermit gets a permit for an attempt on a server that has named a limit, and reports
@@ -127,7 +127,7 @@
 		n.metrics.permits.WithLabelValues(service, "denied").Inc()
 		return false
 	}
-	l.line.Granted(service, now)
+	l.queue.Granted(service, now)
 	n.backends.recordSent(p, parts, now)
 	if ask == serverlimit.OwnShare {
 		n.metrics.permits.WithLabelValues(service, "own-share").Inc()
@@ -210,30 +210,30 @@
 // is the time from which this node may ask for the next permit.
 func (q *request) expectedRoom(due, now time.Time) time.Time {
 	l := q.node.limits
-	ahead := l.line.Ahead(q.service, q.room.place, q.priority())
+	ahead := l.queue.Ahead(q.service, q.room.place, q.priority())
 	if ahead == 0 {
 		return due
 	}
-	interval := l.line.Interval(q.service, l.evenInterval(q.service), now)
+	interval := l.queue.Interval(q.service, l.evenInterval(q.service), now)
 	return due.Add(time.Duration(ahead) * interval)
 }
 
 // mustYield reports whether room at limited servers is for requests that wait already.
 func (q *request) mustYield() bool {
-	return q.node.limits.line.Ahead(q.service, q.room.place, q.priority()) > 0
+	return q.node.limits.queue.Ahead(q.service, q.room.place, q.priority()) > 0
 }
 
-// joinLine adds the request to those that wait for room.
-func (q *request) joinLine(now time.Time) {
+// joinQueue adds the request to those that wait for room.
+func (q *request) joinQueue(now time.Time) {
 	if q.room.place == nil {
-		q.room.place = q.node.limits.line.Join(q.service, q.priority(), now)
+		q.room.place = q.node.limits.queue.Join(q.service, q.priority(), now)
 	}
 }
 
-// leaveLine removes the request from those that wait for room, if it is among them.
-func (q *request) leaveLine() {
+// leaveQueue removes the request from those that wait for room, if it is among them.
+func (q *request) leaveQueue() {
 	if q.room.place != nil {
-		q.node.limits.line.Leave(q.room.place)
+		q.node.limits.queue.Leave(q.room.place)
 		q.room.place = nil
 	}
 }
