--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,6 +112,8 @@
 	// limits holds the limits that servers have named.
 	limits  *serverlimit.Table
 	members func() int
+	// dial opens connections to servers, see upstream.Config.Dial.
+	dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 	// serviceConfig returns the document's entry for a service, or nil if there is
 	// none.
 	serviceConfig func(name string) *deployment.Service
@@ -177,6 +181,7 @@
 	b.pool = upstream.NewPool(s.Address, upstream.Config{
 		DialTimeout:        dialTimeout,
 		DefaultIdleTimeout: defaultIdleTimeout,
+		Dial:               t.dial,
 		MaxConnections: func() int {
 			return max(int(connectionShare*float64(t.maxConnections(service)))/t.members(), minConnections)
 		},
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -122,14 +122,23 @@
 // out.
 func Start(settings Settings, out io.Writer) (*Node, error) {
 	n := newNode(settings, out)
+	if err := n.start(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// start starts a new node, which is closed if that fails.
+func (n *Node) start() error {
+	settings := &n.settings
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		n.Close()
-		return nil, err
+		return err
 	}
 	n.startLoops()
 	n.log.Event("gateway", "started", "vm", settings.VM, "zone", settings.AvailabilityZone, "incarnation", n.incarnation, "callers", settings.CallerAddress, "peers", settings.PeerAddress, "store", settings.StoreAddress)
-	return n, nil
+	return nil
 }
 
 func newNode(settings Settings, out io.Writer) *Node {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -54,6 +54,9 @@
 	// OnData is called whenever the head of an answer to a request, or a part of its
 	// body, has arrived from the server. It may be nil.
 	OnData func()
+	// Dial opens connections in place of the dialer, which has the timeouts and options
+	// for the connection. It may be nil.
+	Dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 }
 
 const (
@@ -532,7 +535,13 @@
 			return errors.CombineErrors(err, optErr)
 		},
 	}
-	raw, err := d.DialContext(ctx, "tcp", p.address)
+	open := p.cfg.Dial
+	if open == nil {
+		open = func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	raw, err := open(ctx, &d, p.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
