gateway: VMs that had lost their links to the servers served no requests

Cause: a VM had no other way to a server than its own links, and no notion of having lost them. Connect failures and health were kept server by server.

Change: package serverlinks decides per service whether the VM's links are cut: connections to two servers have failed, none has worked since, and two others do not answer a probe. While they are, an attempt goes through a tunnel: a peer opens a connection to the server and copies bytes. Everything that is decided about a request (retries, quota, permits, quarantine, trials, usage) stays with the VM that has it, so the promises hold unchanged; a request is sent only once the connection is open, so 'not run' stays true. The peer rejects a tunnel when it is full, shuts down, is cut off itself, or was told by the server that it leaves or wants no requests. It records what the server states in its answers.

What a VM records while its links are cut is no evidence: connect failures, ejections and lost attempts are forgotten or not counted, and a peer decides whether a server that refuses a connection has ended before a content is counted.

--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -45,6 +45,8 @@
 	Identity
 	Ready    bool
 	Draining bool
+	// IsCutOff is true if the VM has lost its links to the backend servers of a service.
+	IsCutOff bool
 }
 
 // Digest is the state that one VM sends to another.
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -176,6 +176,21 @@
 	}
 }
 
+// Forget forgets the failures of a model's servers, which are admitted at once.
+func (t *Table) Forget(model string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, s := range t.byKey {
+		if key.Model != model {
+			continue
+		}
+		if s.phase != healthy {
+			t.notify(key, PhaseReturned)
+		}
+		*s = serverState{meanLogRatio: s.meanLogRatio, hasRatio: s.hasRatio, lastSampleAt: now}
+	}
+}
+
 // Weight returns the share of its normal work that a server may get: 0 for an
 // ejected server, 1 for a healthy or unknown one.
 func (t *Table) Weight(key Key, now time.Time) float64 {
--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -24,27 +24,27 @@
 	patiencePauses    = 8
 )
 
-// recordAnnouncements records what the server states about itself in an answer.
-func (a *attempt) recordAnnouncements(head platform.Answer) {
-	n := a.q.node
-	process, ok := a.announcer(head)
+// recordStatements records what a server states about itself in the answer to a request that
+// was sent to b at sentAt. id is the request's, empty for one of a peer.
+func (n *Node) recordStatements(b *backend, id string, sentAt time.Time, head platform.Answer) {
+	process, ok := n.announcer(b, head)
 	if !ok {
 		return
 	}
-	service, now := a.q.service, n.now()
-	n.limits.observe(a, process, head, now)
+	service, now := b.service, n.now()
+	n.limits.observe(service, id, process, head, sentAt, now)
 	if head.Leaving {
-		if n.backends.recordLeaving(process, n.clock.unixMillis(a.startedAt), now) {
-			n.log.Event("servers", "announced-leaving", "server", process.ServerID, "service", service, "started", process.StartedAtMillis, "id", a.q.call.ID)
+		if n.backends.recordLeaving(process, n.clock.unixMillis(sentAt), now) {
+			n.log.Event("servers", "announced-leaving", "server", process.ServerID, "service", service, "started", process.StartedAtMillis, "id", id)
 		}
 		n.metrics.announcements.WithLabelValues(service, "leaving").Inc()
 	}
 	if head.BackoffErr != nil {
-		n.log.Failure("servers", "unreadable-retry-after", "server", process.ServerID, "service", service, "id", a.q.call.ID, "error", head.BackoffErr)
+		n.log.Failure("servers", "unreadable-retry-after", "server", process.ServerID, "service", service, "id", id, "error", head.BackoffErr)
 	}
 	if head.Backoff > 0 {
 		if until, isNew := n.backends.recordBackoff(process.ServerID, head.Backoff, now); isNew {
-			n.log.Event("servers", "backoff", "server", process.ServerID, "service", service, "stated", head.Backoff, "for", until.Sub(now), "id", a.q.call.ID)
+			n.log.Event("servers", "backoff", "server", process.ServerID, "service", service, "stated", head.Backoff, "for", until.Sub(now), "id", id)
 		}
 		n.metrics.announcements.WithLabelValues(service, "backoff").Inc()
 	}
@@ -52,11 +52,11 @@
 
 // announcer returns the process that has sent an answer. It returns false if another server
 // than the intended one has answered and is not known.
-func (a *attempt) announcer(head platform.Answer) (announcements.Process, bool) {
-	if !head.Misdirected || head.ServerID == a.placed.info.ID {
-		return processOf(&a.placed.info), true
+func (n *Node) announcer(b *backend, head platform.Answer) (announcements.Process, bool) {
+	if !head.Misdirected || head.ServerID == b.id {
+		return n.backends.processAt(b), true
 	}
-	if s := a.q.node.backends.entry(head.ServerID); s != nil {
+	if s := n.backends.entry(head.ServerID); s != nil {
 		return processOf(s), true
 	}
 	return announcements.Process{}, false
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -215,7 +215,7 @@
 func (q *request) runAttempts(ctx context.Context, p *placedAttempt, isRetry bool) bool {
 	for a := q.startAttempt(ctx, p, nil); ; isRetry = true {
 		outcome, next := a.run(ctx)
-		q.node.moves.countOutcome(a.placed, outcome)
+		q.node.moves.countOutcome(a.placed, a.evidence(outcome))
 		q.countAttempt(a, outcome, isRetry)
 		if next == nil {
 			return q.afterAttempt(a.placed, outcome)
@@ -311,6 +311,10 @@
 	left chan struct{}
 	// sending states whether the request may still be withdrawn before it is sent.
 	sending atomic.Int32
+	// isTunneled is set once the attempt goes through a peer.
+	isTunneled atomic.Bool
+	// isNoEvidence is set if the attempt's end tells nothing about its server.
+	isNoEvidence bool
 	// answer and head are nil and empty until the head of the answer has arrived.
 	answer *upstream.Answer
 	head   platform.Answer
@@ -477,6 +481,14 @@
 	return max(pauseFactor*q.route.PauseTarget, timeoutMargin)
 }
 
+// evidence returns the outcome as evidence about the attempt's server.
+func (a *attempt) evidence(outcome attemptOutcome) attemptOutcome {
+	if a.isNoEvidence {
+		return outcomeUnneeded
+	}
+	return outcome
+}
+
 func (q *request) upstreamRequest(p *placedAttempt, now time.Time) upstream.Request {
 	forward := platform.ForwardedFields{
 		Server:    p.server.id,
@@ -522,7 +534,7 @@
 func (a *attempt) handleSendError(err error) attemptOutcome {
 	q, n := a.q, a.q.node
 	if errors.Is(err, upstream.ErrNotSent) {
-		if !errors.IsAny(err, upstream.ErrConnectionLimit, upstream.ErrWithdrawn) && a.ctx.Err() == nil {
+		if !errors.IsAny(err, upstream.ErrConnectionLimit, upstream.ErrWithdrawn, errNoTunnel) && a.ctx.Err() == nil {
 			n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: true}, n.now())
 			n.backends.recordConnectFailure(a.placed, n.now())
 			n.log.Failure("attempt", "not-sent", "id", q.call.ID, "server", a.placed.server.id, "error", err)
@@ -547,6 +559,12 @@
 func (a *attempt) recordLost(outcome attemptOutcome, err error) attemptOutcome {
 	n := a.q.node
 	now := n.now()
+	isTunneled := a.isTunneled.Load()
+	if isTunneled && errors.Is(err, errTunnelLost) || !isTunneled && n.links.IsCut(a.q.service) {
+		a.isNoEvidence = true
+		n.log.Failure("attempt", outcome.String(), "id", a.q.call.ID, "server", a.placed.server.id, "after", now.Sub(a.startedAt), "events", a.q.lastEventID, "links", "cut", "error", err)
+		return outcome
+	}
 	if outcome != outcomeCallerLeft {
 		n.serverChecks.add(a.placed.server, loss{
 			requestID: a.q.call.ID, content: a.q.content, parts: a.q.parts, outcome: outcome, disconnected: outcome == outcomeLost && isDisconnect(err), at: now,
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -255,6 +255,69 @@
 	return t.announcements.Status(processOf(&p.info), now).MaySend(now)
 }
 
+// wantsRequests reports whether a server has neither announced that it will stop nor that it
+// wants no requests for a while.
+func (t *backendTable) wantsRequests(b *backend, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !b.leaves() && b.announced.MaySend(now)
+}
+
+// byProcess returns the server with an ID whose process started at a Unix time, nil if it is
+// not known.
+func (t *backendTable) byProcess(id string, startedAtMillis int64) *backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.byID[id]
+	if b == nil || b.info.StartedAtMillis != startedAtMillis {
+		return nil
+	}
+	return b
+}
+
+// forgetFailures forgets the failed connections to a service's servers, and closes the
+// connections that carry no request.
+func (t *backendTable) forgetFailures(service string) {
+	t.mu.Lock()
+	servers := t.byService[service]
+	for _, b := range servers {
+		b.connectFailures, b.unreachableUntil, b.silentUntil = 0, time.Time{}, time.Time{}
+	}
+	t.mu.Unlock()
+	for _, b := range servers {
+		b.pool.CloseIdle()
+	}
+}
+
+// unplaced returns an attempt on a server without load, for checks.
+func (t *backendTable) unplaced(b *backend) *placedAttempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &placedAttempt{server: b, info: b.info}
+}
+
+// probeCandidates returns the servers of a service that may be asked whether they answer, as
+// attempts that are not placed.
+func (t *backendTable) probeCandidates(service string, now time.Time) []*placedAttempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*placedAttempt
+	for _, b := range t.byService[service] {
+		if b.removedAt.IsZero() && !b.leaves() && b.announced.MaySend(now) {
+			out = append(out, &placedAttempt{server: b, info: b.info})
+		}
+	}
+	return out
+}
+
+// processAt returns the process that b stands for. A later one with the same ID has another
+// backend.
+func (t *backendTable) processAt(b *backend) announcements.Process {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return processOf(&b.info)
+}
+
 // entry returns the present entry of a server, nil if there is none.
 func (t *backendTable) entry(id string) *deployment.Server {
 	t.mu.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -58,7 +58,7 @@
 // exchange sends the request and delivers what arrives, up to arrivedEnd. The connection is
 // released before.
 func (a *attempt) exchange(request upstream.Request) {
-	answer, err := a.placed.server.pool.Do(a.ctx, request)
+	answer, err := a.send(request)
 	if err != nil {
 		a.deliver(arrival{kind: arrivedEnd, err: err})
 		return
@@ -91,6 +91,31 @@
 	}
 }
 
+// send sends the request, and returns once the head of its answer has arrived. If the links to
+// the service's servers are cut, the request is sent through a peer.
+func (a *attempt) send(request upstream.Request) (*upstream.Answer, error) {
+	n, server := a.q.node, a.placed.server
+	if request.Connection == nil {
+		if !n.usesTunnels(server.service) {
+			answer, err := server.pool.Do(a.ctx, request)
+			if !isLinkFailure(err) || a.ctx.Err() != nil {
+				return answer, err
+			}
+			n.recordLinkFailure(server, a.startedAt)
+			if !errors.Is(err, upstream.ErrNotSent) || !n.usesTunnels(server.service) {
+				return nil, err
+			}
+		}
+		connection, err := n.tunnels.connect(a.ctx, a.placed)
+		if err != nil {
+			return nil, err
+		}
+		request.Connection = connection
+	}
+	a.isTunneled.Store(request.Connection.IsAdopted())
+	return server.pool.Do(a.ctx, request)
+}
+
 // deliverEvents delivers the events of a stream. It returns the error that ended it and the
 // number of bytes after the last complete event.
 func (a *attempt) deliverEvents(answer *upstream.Answer) (partialBytes int, err error) {
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -131,7 +131,7 @@
 func (n *Node) secure(ctx context.Context, p *placedAttempt, check *upstream.Request) *replacement {
 	callCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	connection, err := p.server.pool.Connect(callCtx, check)
+	connection, err := n.connectReplacement(callCtx, p, check)
 	if check != nil {
 		n.checks.release(p.server.service)
 	}
@@ -144,12 +144,26 @@
 	return &replacement{p, connection}
 }
 
+// connectReplacement opens a connection to a server, through a peer if the links to the
+// service's servers are cut. A peer's connection shows that the server is there.
+func (n *Node) connectReplacement(ctx context.Context, p *placedAttempt, check *upstream.Request) (*upstream.Connection, error) {
+	if n.usesTunnels(p.server.service) {
+		return n.tunnels.connect(ctx, p)
+	}
+	startedAt := n.now()
+	connection, err := p.server.pool.Connect(ctx, check)
+	if err != nil && !errors.IsAny(err, upstream.ErrConnectionLimit, context.Canceled) {
+		n.recordLinkFailure(p.server, startedAt)
+	}
+	return connection, err
+}
+
 // recordCheckFailure records that a server did not answer a check. ctx is that of the search.
 func (n *Node) recordCheckFailure(p *placedAttempt, ctx context.Context, err error) {
-	if ctx.Err() != nil || errors.Is(err, upstream.ErrConnectionLimit) {
+	if ctx.Err() != nil || errors.IsAny(err, upstream.ErrConnectionLimit, errNoTunnel) || n.links.IsCut(p.server.service) && !errors.IsAny(err, errUnreachableForPeer, errRefusedForPeer) {
 		return
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if errors.IsAny(err, syscall.ECONNREFUSED, errUnreachableForPeer, errRefusedForPeer) {
 		n.backends.recordConnectFailure(p, n.now())
 	} else {
 		n.backends.recordSilent(p, n.now())
@@ -368,7 +382,7 @@
 // checkServer asks the attempt's server on a new connection whether it answers.
 func (a *attempt) checkServer(ctx context.Context) {
 	n := a.q.node
-	if n.backends.heardRecently(a.placed.server, n.now()) || n.backends.isLimited(a.placed.server) || !n.checks.acquire(a.q.service) {
+	if n.links.IsCut(a.q.service) || n.backends.heardRecently(a.placed.server, n.now()) || n.backends.isLimited(a.placed.server) || !n.checks.acquire(a.q.service) {
 		return
 	}
 	defer n.checks.release(a.q.service)
@@ -467,7 +481,7 @@
 		})
 	}
 	q.tried[c.placed.server.id] = true
-	q.node.moves.countOutcome(c.placed, outcome)
+	q.node.moves.countOutcome(c.placed, c.evidence(outcome))
 	q.countAttempt(c, outcome, true)
 }
 
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -35,9 +35,12 @@
 	serverEnded
 	// serverLeaving means that the server had announced that it would stop.
 	serverLeaving
+	// serverNotChecked means that the attempt may have been lost because this VM's links are
+	// cut, which is no evidence about the server.
+	serverNotChecked
 )
 
-var serverStateNames = [...]string{"unknown", "listening", "ended", "leaving"}
+var serverStateNames = [...]string{"unknown", "listening", "ended", "leaving", "not-checked"}
 
 func (s serverState) String() string { return serverStateNames[s] }
 
@@ -119,6 +122,10 @@
 	losses := c.waiting[b]
 	delete(c.waiting, b)
 	c.mu.Unlock()
+	if state == serverNotChecked {
+		n.metrics.contentLosses.WithLabelValues(b.service, state.String()).Add(float64(len(losses)))
+		return
+	}
 	for _, l := range losses {
 		switch {
 		case l.confirm == nil || state == serverEnded:
@@ -129,14 +136,47 @@
 	}
 }
 
+// checkServer determines the state of a server. A refused connection may be due to this VM's
+// links, so that a peer decides whether the server has ended.
 func (n *Node) checkServer(b *backend) serverState {
+	startedAt := n.now()
 	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
 	defer cancel()
-	switch err := b.pool.CheckListening(ctx); {
-	case err == nil:
+	err := b.pool.CheckListening(ctx)
+	if err == nil && !n.links.IsCut(b.service) {
 		return serverListening
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return serverEnded
 	}
-	return serverUnknown
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) && !n.links.IsCut(b.service) {
+		n.recordLinkFailure(b, startedAt)
+		return serverUnknown
+	}
+	state, ok := n.checkServerThroughPeer(b)
+	switch {
+	case ok && state != serverNotChecked:
+		return state
+	case err != nil:
+		n.recordLinkFailure(b, startedAt)
+	}
+	if ok || n.links.IsCut(b.service) {
+		return serverNotChecked
+	}
+	return serverEnded
+}
+
+// checkServerThroughPeer determines the state of a server as seen from a peer, and false if
+// none can tell. A server that the peer reaches has not ended.
+func (n *Node) checkServerThroughPeer(b *backend) (state serverState, ok bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
+	defer cancel()
+	connection, err := n.tunnels.connect(ctx, n.backends.unplaced(b))
+	switch {
+	case err == nil:
+		connection.Release()
+		return serverNotChecked, true
+	case errors.Is(err, errRefusedForPeer):
+		return serverEnded, true
+	case errors.Is(err, errUnreachableForPeer):
+		return serverUnknown, true
+	}
+	return serverNotChecked, false
 }
--- a/internal/gateway/lost_links_test.go
+++ b/internal/gateway/lost_links_test.go
@@ -214,6 +214,10 @@
 					}
 				}
 			}
+			for i, l := range cuts[:trial.cut] {
+				l.set(linksUp)
+				f.eventually("links are restored", func() bool { return !nodes[i].links.AnyCut() })
+			}
 			failed := sent[1] - served[1]
 			t.Logf("cut VMs served %d of %d, the others %d of %d", served[1], sent[1], served[0], sent[0])
 			if failed > 10+sent[1]/50 && float64(served[1])/float64(sent[1]) < float64(served[0])/float64(sent[0])*2/3 {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -293,7 +293,7 @@
 		WallMillis: time.Now().UnixMilli(),
 		Loads:      n.backends.ownLoads(),
 	}
-	d.Ready, d.Draining = n.Ready(), n.draining.Load()
+	d.Ready, d.Draining, d.IsCutOff = n.Ready(), n.draining.Load(), n.links.AnyCut()
 	if token, end, holds := n.duties.leaseState(now); holds {
 		d.FencingToken, d.HolderEnd, d.HolderAddress = token, end, n.settings.PeerAddress
 	}
@@ -504,6 +504,24 @@
 	return sameZone[:min(len(sameZone), maxAddresses)]
 }
 
+// tunnelPeers returns the peer addresses of the VMs that may be asked for tunnels: those that
+// have not lost links themselves, or all if there are no others.
+func (m *members) tunnelPeers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var linked, all []string
+	for _, x := range m.core.ServingPeers(m.node.now()) {
+		all = append(all, x.PeerAddress)
+		if !x.IsCutOff {
+			linked = append(linked, x.PeerAddress)
+		}
+	}
+	if len(linked) == 0 {
+		return all
+	}
+	return linked
+}
+
 const (
 	// minZoneVMs is the minimum number of VMs in a zone whose callers get only
 	// the addresses of that zone. Callers in zones with fewer VMs get all
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,9 @@
 	storeEra           prometheus.Gauge
 	permits            *prometheus.CounterVec
 	serverLimits       *prometheus.GaugeVec
+	tunnels            *prometheus.CounterVec
+	servedTunnels      prometheus.Gauge
+	linksCut           *prometheus.GaugeVec
 	readsLeft          *prometheus.CounterVec
 	confirmationAge    *prometheus.GaugeVec
 	restorations       *prometheus.CounterVec
@@ -80,6 +83,11 @@
 		serverLimits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_server_limit", Help: "Requests per second that a backend server takes from all VMs, as it has named them.",
 		}, []string{"server", "service"}),
+		tunnels:       counter("tunnels_total", "Connections to backend servers that peers were asked for as the VM's own links to them were cut, by service and result.", "service", "result"),
+		servedTunnels: gauge("served_tunnels", "Connections to backend servers that are open for peers."),
+		linksCut: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_links_cut", Help: "1 while the VM's links to the backend servers of a service are cut.",
+		}, []string{"service"}),
 		readsLeft: counter("store_reads_left_total", "Held reads of the platform's store that were cancelled before their end, by topic and cause.", "topic", "cause"),
 		confirmationAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_confirmation_age_seconds", Help: "Time since a read of any VM last showed that there are no further records in the platform's store, by topic.",
@@ -92,6 +100,6 @@
 		}, []string{"importance"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -21,6 +21,7 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quota"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/retry"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/serverlinks"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/eventlog"
@@ -102,6 +103,8 @@
 	answerMemory     *answerMemory
 	quarantiner      *quarantiner
 	limits           *serverLimits
+	links            *serverlinks.Table
+	tunnels          *tunnels
 	moves            *versionMoves
 
 	openRequests atomic.Int64
@@ -174,6 +177,8 @@
 	n.moves = newVersionMoves(n)
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
 	n.limits = newServerLimits(n)
+	n.links = serverlinks.NewTable()
+	n.tunnels = newTunnels(n)
 	n.backends.members = n.members.count
 	n.backends.serviceConfig = n.serviceConfig
 	return n
@@ -408,6 +413,7 @@
 		n.peerServer.Close()
 	}
 	n.peerPool.Close()
+	n.tunnels.pool.Close()
 	n.loops.Wait()
 	n.log.Close()
 }
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -39,10 +39,10 @@
 }
 
 // observe records what an answer tells about the limit of the server that sent it.
-func (l *serverLimits) observe(a *attempt, process announcements.Process, head platform.Answer, now time.Time) {
-	n, service := l.node, a.q.service
+func (l *serverLimits) observe(service, id string, process announcements.Process, head platform.Answer, sentAt, now time.Time) {
+	n := l.node
 	if head.LimitErr != nil {
-		n.log.Failure("servers", "unreadable-limit", "server", process.ServerID, "service", service, "id", a.q.call.ID, "error", head.LimitErr)
+		n.log.Failure("servers", "unreadable-limit", "server", process.ServerID, "service", service, "id", id, "error", head.LimitErr)
 		n.metrics.announcements.WithLabelValues(service, "unreadable-limit").Inc()
 		return
 	}
@@ -55,10 +55,10 @@
 	}
 	s, changed := l.table.Observe(serverlimit.Observation{
 		Server: shortHash(process.ServerID), HasLimit: head.HasLimit, Rate: head.Limit,
-		SentAt: n.clock.unixMillis(a.startedAt), ArrivedAt: n.clock.unixMillis(now),
+		SentAt: n.clock.unixMillis(sentAt), ArrivedAt: n.clock.unixMillis(now),
 	}, now)
 	if changed {
-		l.logChange(process.ServerID, service, s, a.q.call.ID)
+		l.logChange(process.ServerID, service, s, id)
 	}
 }
 
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -54,6 +54,7 @@
 	flagReady = 1 << iota
 	flagDraining
 	flagReadsStore
+	flagCutOff
 )
 
 // memoryUnitTokens and prefillUnitTokens are the numbers of tokens per unit on the
@@ -191,6 +192,9 @@
 	if readsStore {
 		flags |= flagReadsStore
 	}
+	if m.IsCutOff {
+		flags |= flagCutOff
+	}
 	b = appendString(b, fieldVM, m.VM)
 	b = appendVarint(b, fieldIncarnation, m.Incarnation)
 	b = appendString(b, fieldZone, m.AvailabilityZone)
@@ -302,7 +306,7 @@
 	case fieldCapacity:
 		m.LinkMbps = int(clamp(v))
 	case fieldFlags:
-		m.Ready, m.Draining = v&flagReady != 0, v&flagDraining != 0
+		m.Ready, m.Draining, m.IsCutOff = v&flagReady != 0, v&flagDraining != 0, v&flagCutOff != 0
 	default:
 		return false
 	}
--- a/internal/protocol/relayapi/relayapi.go
+++ b/internal/protocol/relayapi/relayapi.go
@@ -1,7 +1,8 @@
-// Package relayapi defines the calls between entry VMs on an operator's platform. By one, a
-// VM gets records of the platform's store from a peer that has read them. This reduces the
-// calls to the store, which may also reject calls of some VMs while it serves others. By the
-// other, it gets a permit to send a request to a backend server that has named a limit.
+// Package relayapi defines the calls between entry VMs on an operator's platform. By Records,
+// a VM gets records of the platform's store from a peer that has read them. This reduces the
+// calls to the store, which may also reject calls of some VMs while it serves others. By
+// Permit, it gets a permit to send a request to a backend server that has named a limit. By
+// Tunnel, it gets a connection to a backend server that it can't reach itself.
 package relayapi
 
 import (
@@ -19,6 +20,7 @@
 const (
 	RecordsMethod = "/coltsfootpath.Relay/Records"
 	PermitMethod  = "/coltsfootpath.Relay/Permit"
+	TunnelMethod  = "/coltsfootpath.Relay/Tunnel"
 )
 
 // RecordsRequest asks for the newest record of each key of a topic, if that record is
@@ -57,6 +59,7 @@
 type Server interface {
 	Records(ctx context.Context, in *RecordsRequest) (*RecordsReply, error)
 	Permit(ctx context.Context, in *PermitRequest) (*PermitReply, error)
+	Tunnel(stream drpc.Stream) error
 }
 
 // jsonEncoding encodes messages in JSON: calls are rare, and the records are
@@ -75,7 +78,7 @@
 // relayDescription describes the calls to drpc.
 type relayDescription struct{}
 
-func (relayDescription) NumMethods() int { return 2 }
+func (relayDescription) NumMethods() int { return 3 }
 
 func (relayDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
@@ -89,6 +92,11 @@
 			return srv.(Server).Permit(ctx, in1.(*PermitRequest))
 		}
 		return PermitMethod, jsonEncoding{}, receive, Server.Permit, true
+	case 2:
+		receive := func(srv any, _ context.Context, in1, _ any) (drpc.Message, error) {
+			return nil, srv.(Server).Tunnel(in1.(drpc.Stream))
+		}
+		return TunnelMethod, frameEncoding{}, receive, Server.Tunnel, true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/transport/upstream/connection.go
+++ b/internal/transport/upstream/connection.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -51,3 +53,36 @@
 	c.conn.idleTimeout = c.pool.cfg.DefaultIdleTimeout
 	c.pool.release(c.conn)
 }
+
+// Adopt returns a connection to the pool's server that was opened elsewhere. It carries one
+// request and does not count as one of the pool's.
+func (p *Pool) Adopt(raw net.Conn) *Connection {
+	c := newConn(raw)
+	c.adopted = true
+	return &Connection{p, c}
+}
+
+// IsAdopted reports whether the connection was opened elsewhere.
+func (c *Connection) IsAdopted() bool { return c.conn.adopted }
+
+// Dial opens a connection that is not used by the pool, but counts as one of it until it is
+// closed. Its errors are marked with ErrNotSent.
+func (p *Pool) Dial(ctx context.Context) (net.Conn, error) {
+	c, err := p.open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &dialed{Conn: c.Conn, release: func() { p.discard(c) }}, nil
+}
+
+// dialed is a connection that was opened by Dial.
+type dialed struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+func (d *dialed) Close() error {
+	d.once.Do(d.release)
+	return nil
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -39,6 +39,9 @@
 	// ErrConnectionLimit means that the number of this process's open connections to
 	// the server has reached Config.MaxConnections.
 	ErrConnectionLimit = errors.New("connection limit reached")
+	// ErrNewConnection means that the request was sent on a connection that was opened for
+	// it.
+	ErrNewConnection = errors.New("on a new connection")
 )
 
 // Config bounds the connections to one server.
@@ -112,6 +115,9 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 	reused      bool
+	// adopted is set for a connection that the pool has not opened. It carries one request,
+	// and does not count.
+	adopted bool
 }
 
 // NewPool returns a pool without connections.
@@ -122,9 +128,17 @@
 // Close closes the idle connections. A connection in use is closed when its
 // request ends.
 func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle()
+}
+
+// CloseIdle closes the connections that carry no request.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.openCount -= len(idle)
 	p.mu.Unlock()
 	for _, c := range idle {
@@ -267,15 +281,18 @@
 func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Answer, error) {
 	a := &Answer{pool: p, conn: c, onData: req.OnData, OnNewConnection: !c.reused, written: make(chan error, 1)}
 	a.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
-	if err := a.write(req); err != nil {
-		a.Close()
-		return nil, errors.Mark(errors.Wrap(err, "write request"), ErrIncomplete)
+	err := errors.Wrap(a.write(req), "write request")
+	if err == nil {
+		err = a.readHead(req)
+	}
+	if err == nil {
+		return a, nil
 	}
-	if err := a.readHead(req); err != nil {
-		a.Close()
-		return nil, errors.Mark(err, ErrIncomplete)
+	a.Close()
+	if a.OnNewConnection {
+		err = errors.Mark(err, ErrNewConnection)
 	}
-	return a, nil
+	return nil, errors.Mark(err, ErrIncomplete)
 }
 
 // write sends the request and reports the result on a.written. A body longer
@@ -433,7 +450,7 @@
 
 // keepsConnection reports whether the connection can carry another request.
 func (a *Answer) keepsConnection() bool {
-	return a.end == EndFramed && !a.resp.Close && a.requestWritten() && a.conn.reader.Buffered() == 0
+	return a.end == EndFramed && !a.conn.adopted && !a.resp.Close && a.requestWritten() && a.conn.reader.Buffered() == 0
 }
 
 // requestWritten reports whether the request was completely written. It does
@@ -545,9 +562,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
 	from := &source{Reader: raw}
 	limited := &io.LimitedReader{R: from, N: math.MaxInt64}
-	return &conn{Conn: raw, source: from, headLimit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
+	return &conn{Conn: raw, source: from, headLimit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
 }
 
 // source keeps the last error of a connection.
@@ -583,6 +604,10 @@
 
 // release makes c idle, or closes it if the pool is closed.
 func (p *Pool) release(c *conn) {
+	if c.adopted {
+		p.discard(c)
+		return
+	}
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	if !p.closed {
@@ -598,7 +623,9 @@
 // discard closes c and stops counting it.
 func (p *Pool) discard(c *conn) {
 	p.mu.Lock()
-	p.openCount--
+	if !c.adopted {
+		p.openCount--
+	}
 	p.mu.Unlock()
 	_ = c.Close()
 }
