--- /dev/null
+++ b/internal/gateway/tunnels_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootpath.example/coltsfootpath/platform/platformtest"
+)
+
+// startCutNode starts a node whose links are cut, and another one through which its requests
+// go. It returns once the cut has been noticed.
+func startCutNode(f *fixture, servers int) (cut, linked *Node) {
+	f.t.Helper()
+	nodes, cuts := startLinkedNodes(f, 2, servers)
+	cuts[0].set(linksRefuse)
+	f.eventually("the cut is noticed", func() bool {
+		do(f.t, nodes[0], call{method: "POST", path: "/again/x", key: "key-w", id: "first", body: "first"})
+		return nodes[0].usesTunnels("s")
+	})
+	return nodes[0], nodes[1]
+}
+
+// TestTunnelHoldsEventsBack: the events of a stream that goes through a tunnel arrive one by
+// one, and its server notices that the caller has left.
+func TestTunnelHoldsEventsBack(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	s := f.addServer("s-1", always(platformtest.Behavior{EventPause: 200 * time.Millisecond}))
+	cut, linked := startCutNode(f, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	resp, err := http.DefaultClient.Do(call{method: "POST", path: "/stream/x", key: "key-w", id: "stream", body: "b"}.request(t, ctx, cut))
+	if err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 1024)
+	size, err := resp.Body.Read(buffer)
+	if err != nil || !strings.Contains(string(buffer[:size]), "data: ") || strings.Count(string(buffer[:size]), "data: ") > 1 {
+		t.Errorf("first read after %v: %q, %v", time.Since(startedAt), buffer[:size], err)
+	}
+	resp.Body.Close()
+	f.eventually("the server's connection is closed", func() bool { return s.Abandoned() == 1 })
+	f.eventually("the tunnel has ended", func() bool { return linked.tunnels.served.Load() == 0 })
+}
+
+// TestServersStatementInTunnelBindsOneVMOnly: what a server states in an answer that goes
+// through a tunnel binds the peer, from which the request has reached it, and the VM that had
+// the request.
+func TestServersStatementInTunnelBindsOneVMOnly(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	leaving := f.addServer("s-leaving", nil)
+	f.addServer("s-stays", nil)
+	cut, linked := startCutNode(f, 2)
+	leaving.Leave()
+	f.eventually("the statement has arrived", func() bool {
+		do(t, cut, call{method: "POST", path: "/again/x", key: "key-w", id: "told", body: "told"})
+		return f.logs.hasLine("servers announced-leaving", "server=s-leaving")
+	})
+	before := len(leaving.Arrivals())
+	for i := range 40 {
+		do(t, linked, call{method: "POST", path: "/again/x", key: "key-w", id: fmt.Sprint("linked-", i), body: "b"})
+		do(t, cut, call{method: "POST", path: "/again/x", key: "key-w", id: fmt.Sprint("cut-", i), body: "b"})
+	}
+	if got := len(leaving.Arrivals()); got > before {
+		t.Errorf("%d requests reached the server after its statement", got-before)
+	}
+}
+
+// TestCutLinksCountAsCrashesOfServers: the answers that break off when links are cut are no
+// evidence against the contents of their requests, nor against the servers.
+func TestCutLinksCountAsCrashesOfServers(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for i := range 4 {
+		f.addServer(fmt.Sprint("s-", i), always(platformtest.Behavior{EventPause: 300 * time.Millisecond}))
+	}
+	nodes, cuts := startLinkedNodes(f, 3, 4)
+	var open sync.WaitGroup
+	for i := range 24 {
+		open.Go(func() {
+			do(t, nodes[0], call{method: "POST", path: []string{"/once/x", "/fixedstream/x"}[i%2], key: "key-w", id: fmt.Sprint("open-", i), body: fmt.Sprint("body ", i)})
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	cuts[0].set(linksRefuse)
+	open.Wait()
+	f.eventually("the cut is noticed", func() bool { return nodes[0].links.IsCut("s") })
+	time.Sleep(2 * serverCheckDelay)
+	for _, state := range []string{"ended", "listening"} {
+		if f.logs.hasLine("content lost", "server-state="+state) {
+			t.Errorf("a loss was counted as %s", state)
+		}
+	}
+	for _, p := range nodes[0].backends.probeCandidates("s", time.Now()) {
+		if w := nodes[0].health.Weight(healthKey(&p.info), time.Now()); w != 1 {
+			t.Errorf("server %s has the weight %v", p.server.id, w)
+		}
+	}
+}
+
+// TestFullPeerTakesTunnels: a peer rejects tunnels beyond its bound, and the request is
+// rejected as not run.
+func TestFullPeerTakesTunnels(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	s := f.addServer("s-1", nil)
+	cut, linked := startCutNode(f, 1)
+	linked.tunnels.served.Add(linked.tunnels.maxTunnels())
+	before := len(s.Runs())
+	got := do(t, cut, call{method: "POST", path: "/once/x", key: "key-w", id: "rejected", body: "b"})
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || len(s.Runs()) != before {
+		t.Errorf("got %+v, %d runs", got, len(s.Runs())-before)
+	}
+	linked.tunnels.served.Add(-linked.tunnels.maxTunnels())
+	f.eventually("the peer takes tunnels again", func() bool {
+		return do(t, cut, call{method: "POST", path: "/once/x", key: "key-w", id: "taken", body: "b"}).status == http.StatusOK
+	})
+}
+
+// TestPeerEndsWithOpenTunnel: a stream that may be resumed goes on through another peer if the
+// first one ends, and a shutdown in order lets it finish.
+func TestPeerEndsWithOpenTunnel(t *testing.T) {
+	t.Parallel()
+	for _, inOrder := range []bool{true, false} {
+		f := newFixture(t)
+		for i := range 2 {
+			f.addServer(fmt.Sprint("s-", i), always(platformtest.Behavior{EventPause: 200 * time.Millisecond}))
+		}
+		nodes, cuts := startLinkedNodes(f, 3, 2)
+		cuts[0].set(linksRefuse)
+		f.eventually("the cut is noticed", func() bool {
+			do(t, nodes[0], call{method: "POST", path: "/again/x", key: "key-w", id: "first", body: "first"})
+			return nodes[0].usesTunnels("s")
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		resp, err := http.DefaultClient.Do(call{method: "POST", path: "/stream/x", key: "key-w", id: "stream", body: "b"}.request(t, ctx, nodes[0]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var ended sync.WaitGroup
+		for _, n := range nodes[1:] {
+			if n.tunnels.served.Load() == 0 {
+				continue
+			}
+			ended.Go(func() {
+				if !inOrder {
+					n.Close()
+				} else if err := n.Drain(ctx); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		body, err := io.ReadAll(resp.Body)
+		want := ""
+		for i := range platformtest.EventCount {
+			want += platformtest.Event(i + 1)
+		}
+		if err != nil || string(body) != want {
+			t.Errorf("in order %v: got %q, %v, want %q", inOrder, body, err, want)
+		}
+		resp.Body.Close()
+		ended.Wait()
+		cancel()
+	}
+}
