gateway: servers that crashed together were taken for cut links

Seen in TestCrashingRequestIsSentOnAfterThreeServersEnded/sent at once (22 of 24 sound requests served) and TestOperatorCannotLiftQuarantine on: 14 of 16 servers crash at once, all VMs took their links for cut, rejected each other's tunnels, and did not count the losses. Now a peer must reach servers to which this VM's connections have failed; if it can't either, the servers are down.

--- a/internal/coordination/serverlinks/serverlinks.go
+++ b/internal/coordination/serverlinks/serverlinks.go
@@ -2,9 +2,9 @@
 // backend servers of a service, while other VMs may still reach them. The evidence is about
 // new connections: open ones may live on in a VM whose links are cut. Links are suspected once
 // connections to several servers have failed and none has worked since. They are cut if the
-// servers that are probed then do not answer either, and restored once several servers have
-// answered a probe. That the servers themselves are down looks the same: peers, which then
-// can't connect either, tell the difference for each server.
+// servers that are probed then do not answer either, while peers can connect to those that
+// have failed: otherwise the servers are down. Links are restored once several servers have
+// answered a probe.
 package serverlinks
 
 import (
@@ -86,14 +86,16 @@
 	return s != nil && !s.failures[server].IsZero()
 }
 
-// Checked records that no probed server has answered, unless one has worked meanwhile. It
-// reports whether the links are cut.
-func (t *Table) Checked(name string, servers int, now time.Time) (cut bool) {
+// Checked records the end of the check: peers could connect to reached servers to which this
+// VM's connections have failed. It reports whether the links are cut: no server has answered
+// meanwhile, and peers reach several.
+func (t *Table) Checked(name string, servers, reached int, now time.Time) (cut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(name)
 	s.isChecking = false
-	if s.cut || len(s.failures) < min(minServers, max(servers, 1)) {
+	needed := min(minServers, max(servers, 1))
+	if s.cut || len(s.failures) < needed || reached < needed {
 		return false
 	}
 	s.cut, s.cutAt, s.answered = true, now, map[string]bool{}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,9 +16,11 @@
 	// linkProbeInterval is the time between two probes of a service's servers while the
 	// links to them are cut.
 	linkProbeInterval = 500 * time.Millisecond
-	// suspicionProbes is the number of servers that are probed at once when links are
+	// probesAtOnce is the number of servers that are probed at the same time.
+	probesAtOnce = 2
+	// peerChecks is the number of servers that peers are asked to connect to when links are
 	// suspected.
-	suspicionProbes = 2
+	peerChecks = 4
 )
 
 // usesTunnels reports whether requests for a service are sent through peers.
@@ -46,26 +49,36 @@
 	}
 }
 
-// checkLinks probes servers of a service to which no connection has failed. If none answers,
-// the links are cut, and what was recorded about the servers is forgotten: it was no evidence.
+// checkLinks decides whether the links to a service's servers are cut: no server answers a
+// probe to which no connection has failed, and a peer reaches servers to which one has. If so,
+// what was recorded about the servers is forgotten: it was no evidence.
 func (n *Node) checkLinks(service string) {
-	var probes sync.WaitGroup
-	var others []*placedAttempt
+	var failed, others []*placedAttempt
 	for _, p := range n.backends.probeCandidates(service, n.now()) {
-		if !n.links.HasFailed(service, p.server.id) {
+		if n.links.HasFailed(service, p.server.id) {
+			failed = append(failed, p)
+		} else {
 			others = append(others, p)
 		}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, p := range others[:min(len(others), suspicionProbes)] {
-		probes.Go(func() { n.probeLink(n.ctx, p) })
+	var checks sync.WaitGroup
+	var reached atomic.Int32
+	for _, p := range draw(others, probesAtOnce) {
+		checks.Go(func() { n.probeLink(n.ctx, p) })
 	}
-	probes.Wait()
+	for _, p := range draw(failed, peerChecks) {
+		checks.Go(func() {
+			if state, ok := n.checkServerThroughPeer(p.server); ok && state == serverNotChecked {
+				reached.Add(1)
+			}
+		})
+	}
+	checks.Wait()
 	now, servers := n.now(), len(n.backends.servers(service))
-	if !n.links.Checked(service, servers, now) {
+	if !n.links.Checked(service, servers, int(reached.Load()), now) {
 		return
 	}
-	n.log.Failure("links", "cut", "service", service, "servers", servers, "probed", len(others), "peers", len(n.members.tunnelPeers()))
+	n.log.Failure("links", "cut", "service", service, "servers", servers, "failed", len(failed), "reached-by-peers", reached.Load(), "peers", len(n.members.tunnelPeers()))
 	n.metrics.linksCut.WithLabelValues(service).Set(1)
 	n.backends.forgetFailures(service)
 	n.health.Forget(service, now)
@@ -73,6 +86,12 @@
 	n.probeLinks(n.ctx, service, now)
 }
 
+// draw returns some of the attempts at random.
+func draw(attempts []*placedAttempt, count int) []*placedAttempt {
+	rand.Shuffle(len(attempts), func(i, j int) { attempts[i], attempts[j] = attempts[j], attempts[i] })
+	return attempts[:min(len(attempts), count)]
+}
+
 // recordLinkWorked records that a server has answered on a connection of this VM that was
 // begun at startedAt.
 func (n *Node) recordLinkWorked(b *backend, startedAt time.Time) {
@@ -82,8 +101,12 @@
 // probeLinks probes the servers of a service until the links to them are restored.
 func (n *Node) probeLinks(ctx context.Context, service string, cutAt time.Time) {
 	for ctx.Err() == nil && n.links.IsCut(service) {
-		candidates := n.backends.probeCandidates(service, n.now())
-		if len(candidates) == 0 || !n.probeLink(ctx, candidates[rand.IntN(len(candidates))]) {
+		var probes sync.WaitGroup
+		for _, p := range draw(n.backends.probeCandidates(service, n.now()), probesAtOnce) {
+			probes.Go(func() { n.probeLink(ctx, p) })
+		}
+		probes.Wait()
+		if n.links.IsCut(service) {
 			sleep(ctx, linkProbeInterval)
 		}
 	}
@@ -92,16 +115,15 @@
 	n.members.sendEarly()
 }
 
-// probeLink asks a server whether it answers, and reports whether it has.
-func (n *Node) probeLink(ctx context.Context, p *placedAttempt) bool {
+// probeLink asks a server whether it answers.
+func (n *Node) probeLink(ctx context.Context, p *placedAttempt) {
 	startedAt := n.now()
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	connection, err := p.server.pool.Connect(ctx, n.checkRequest(p))
 	if err != nil {
-		return false
+		return
 	}
 	connection.Release()
 	n.recordLinkWorked(p.server, startedAt)
-	return true
 }
