serverlimit: a VM could stop choosing servers for good once one had named a limit

Callers got no answer at all: choices look limits up under the lock of the servers' table, and forgetting old limits looked servers up under the lock of the limits.

The second fault made it likely: the age of a statement was computed from a time in the past at which the clock's offset was taken anew, so that with fewer than three peers every statement was old, and the limit of a server without an entry was dropped at once.

Now servers are looked up without the lock. TestForgettingLimitsBlocksChoices hangs before and passes after.

--- a/internal/coordination/serverlimit/serverlimit.go
+++ b/internal/coordination/serverlimit/serverlimit.go
@@ -296,15 +296,30 @@
 }
 
 // Retain forgets the statements from before a Unix time, in milliseconds, about servers for
-// which keep returns false.
+// which keep returns false. keep is called without the lock.
 func (t *Table) Retain(keep func(server uint32) bool, before int64) {
+	for _, server := range t.statedBefore(before) {
+		if keep(server) {
+			continue
+		}
+		t.mu.Lock()
+		if e := t.entries[server]; e != nil && e.At < before {
+			delete(t.entries, server)
+		}
+		t.mu.Unlock()
+	}
+}
+
+func (t *Table) statedBefore(before int64) []uint32 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var out []uint32
 	for server, e := range t.entries {
-		if e.At < before && !keep(server) {
-			delete(t.entries, server)
+		if e.At < before {
+			out = append(out, server)
 		}
 	}
+	return out
 }
 
 // Limits returns the limits that have not ended, by server.
--- a/internal/coordination/serverlimit/serverlimit_test.go
+++ b/internal/coordination/serverlimit/serverlimit_test.go
@@ -243,3 +243,24 @@
 		t.Errorf("%d requests ahead after the first left, want 1", got)
 	}
 }
+
+// TestForgettingLimitsBlocksChoices: whoever is asked whether a server is known may hold a
+// lock under which limits are looked up.
+func TestForgettingLimitsBlocksChoices(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	table := NewTable(rand.New(rand.NewPCG(1, 1)))
+	table.Observe(Observation{Server: testServer, HasLimit: true, Rate: 1, SentAt: 1000, ArrivedAt: 1100}, now)
+	done := make(chan bool)
+	go func() {
+		table.Retain(func(server uint32) bool {
+			_, limited := table.Rate(server, 0)
+			return limited
+		}, 2000)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the table's lock is held")
+	}
+}
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -179,7 +179,7 @@
 	l.table.Retain(func(server uint32) bool {
 		_, _, ok := n.backends.byShortHash(server)
 		return ok
-	}, n.clock.unixMillis(now.Add(-limitKeepTime)))
+	}, n.clock.unixMillis(now)-limitKeepTime.Milliseconds())
 	n.metrics.serverLimits.Reset()
 	for server, s := range l.table.Limits() {
 		if id, service, ok := n.backends.byShortHash(server); ok {
