gateway: servers that state that they are brittle fell one after the other

The header was not known, and callers got it.

Change: VMs keep the statements and pass them on as they do with limits (one table type, its own instance; a statement also holds for a server's next process, and for servers of the service of which nothing is known yet). While a server is brittle, no request waits there: package serverroom divides its slots among the VMs, by names where each VM has one, through the granter with leases where there are fewer, by turns where the granter can't be asked. A rejection shows how few places there are. Requests without a place wait as for limited servers, at most their latency target, or are rejected at once.

Why not permits as for limits: a rate can't bound what runs at the same time; a place is held as long as its request runs, so that a fixed share is in use without messages.

--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -86,6 +86,8 @@
 	Moves          []Move
 	// Limits holds what servers have stated about their limits, with news for the receivers.
 	Limits []serverlimit.Statement
+	// Brittle holds what servers have stated about the rejections that they survive.
+	Brittle []serverlimit.Statement
 	// Contents holds the request contents that have lost servers, with news for the
 	// receivers.
 	Contents []quarantine.Entry
--- a/internal/coordination/serverlimit/serverlimit.go
+++ b/internal/coordination/serverlimit/serverlimit.go
@@ -51,6 +51,9 @@
 	// server no longer names one.
 	Rate  float64
 	Ended bool
+	// Places is the number of places that the server has at most, as its rejections have
+	// shown, 0 if it has rejected nothing. It is kept as long as the statement holds.
+	Places int
 	// At is the Unix time in milliseconds at which the answer with the statement arrived.
 	At int64
 }
@@ -140,10 +143,11 @@
 	case e == nil:
 		e = &entry{}
 		t.entries[s.Server] = e
-	case s.At <= e.At:
+	case s.At <= e.At && !hasFewerPlaces(&e.Statement, &s):
 		return false
 	}
-	changed = e.Ended != s.Ended || e.Rate != s.Rate || e.At == 0 && !s.Ended
+	changed = e.Ended != s.Ended || e.Rate != s.Rate || e.At == 0 && !s.Ended || hasFewerPlaces(&e.Statement, &s)
+	s.At = max(s.At, e.At)
 	if !changed {
 		e.At = s.At
 		e.restate(now)
@@ -153,6 +157,50 @@
 	return true
 }
 
+// hasFewerPlaces reports whether a statement that holds like the known one shows that the
+// server has fewer places.
+func hasFewerPlaces(known, s *Statement) bool {
+	return !known.Ended && !s.Ended && s.Places > 0 && (known.Places == 0 || s.Places < known.Places)
+}
+
+// LimitPlaces records that a server has at most so many places, while its statement holds. It
+// reports whether that is new.
+func (t *Table) LimitPlaces(server uint32, places int, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[server]
+	if e == nil {
+		return false
+	}
+	s := e.Statement
+	s.Places = places
+	if !hasFewerPlaces(&e.Statement, &s) {
+		return false
+	}
+	t.set(e, s, now)
+	return true
+}
+
+// Statement returns the last statement about a server's limit, and false if there is none.
+func (t *Table) Statement(server uint32) (Statement, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[server]
+	if e == nil {
+		return Statement{}, false
+	}
+	return e.Statement, true
+}
+
+// ResendAll sends all statements once more, for a peer that has started or returned.
+func (t *Table) ResendAll(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		e.sends, e.restatedAt = max(e.sends, 1), now
+	}
+}
+
 // restate sends an unchanged statement once more if the last time is long ago.
 func (e *entry) restate(now time.Time) {
 	if now.Sub(e.restatedAt) >= restateInterval {
@@ -162,6 +210,9 @@
 
 // set replaces a statement. The caller must hold the lock.
 func (t *Table) set(e *entry, s Statement, now time.Time) {
+	if !s.Ended && !e.Ended && e.Places > 0 && (s.Places == 0 || e.Places < s.Places) {
+		s.Places = e.Places
+	}
 	e.Statement, e.sends, e.restatedAt = s, digestRepeats, now
 	e.askAt, e.turnAt = time.Time{}, time.Time{}
 }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -92,6 +92,8 @@
 	// silentUntil is the time until which the server is not checked again after it has
 	// not answered a check.
 	silentUntil time.Time
+	// noPlaceUntil is the time until which no place at the server is asked for.
+	noPlaceUntil time.Time
 }
 
 // backendTable holds all backend servers. Its lock is acquired before the locks
@@ -110,8 +112,16 @@
 	// announcements holds what servers have stated in their answers.
 	announcements *announcements.Table
 	// limits holds the limits that servers have named.
-	limits  *serverlimit.Table
-	members func() int
+	limits *serverlimit.Table
+	// brittle holds what servers have stated about the rejections that they survive.
+	brittle *serverlimit.Table
+	// self is the name of this VM, and servingVMs holds those of the others that serve
+	// requests. Together they use the places of brittle servers.
+	self       string
+	servingVMs []string
+	// unixMillis returns the time on which the VMs agree.
+	unixMillis func(now time.Time) int64
+	members    func() int
 	// dial opens connections to servers, see upstream.Config.Dial.
 	dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 	// serviceConfig returns the document's entry for a service, or nil if there is
@@ -134,6 +144,8 @@
 
 		announcements: announcements.NewTable(),
 		limits:        serverlimit.NewTable(newRandom()),
+		brittle:       serverlimit.NewTable(newRandom()),
+		unixMillis:    time.Time.UnixMilli,
 	}
 }
 
@@ -511,6 +523,10 @@
 	load      placement.Load
 	inPrefill bool
 	health    health.Key
+	// hasPlace is set if the attempt has got one of the places of a brittle server.
+	hasPlace bool
+	// onRelease is called once the attempt is released, if it is set.
+	onRelease func()
 }
 
 // serverQuery describes the server that an attempt needs.
@@ -578,9 +594,13 @@
 func (t *backendTable) nextDue(query *serverQuery, now time.Time) (due time.Time, isLimit, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	rooms := t.roomsOf(query.service, now)
 	for _, b := range t.byService[query.service] {
 		until := b.announced.BackoffUntil
 		roomAt, limited := t.roomAt(b, now)
+		if !rooms.hasPlace(b) {
+			roomAt, limited = later(roomAt, now.Add(placeCheckInterval)), true
+		}
 		limited = limited && !roomAt.Before(until)
 		if limited {
 			until = roomAt
@@ -607,10 +627,12 @@
 // The caller must hold the lock.
 func (t *backendTable) usable(query *serverQuery, now time.Time) []*backend {
 	var available, full, removed, unreachable []*backend
+	rooms := t.roomsOf(query.service, now)
 	for _, b := range t.byService[query.service] {
 		switch {
 		case query.exclude[b.info.ID] || b.info.Leaving || !query.versions.allows(&b.info):
 		case !b.announced.MaySend(now) || !t.mayHaveRoom(b, query, now):
+		case rooms != nil && rooms.isBrittle(b) && (query.skipLimited || !rooms.hasPlace(b) || query.isReplacement && !rooms.isDivided(b)):
 		case !b.removedAt.IsZero():
 			if now.Sub(b.removedAt) < maxUseAfterRemoval {
 				removed = append(removed, b)
@@ -814,6 +836,9 @@
 func (t *backendTable) release(p *placedAttempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if p.onRelease != nil {
+		go p.onRelease()
+	}
 	p.server.ownLoad.Add(placement.Load{PrefillTokens: -p.load.PrefillTokens, Running: -p.load.Running, MemoryTokens: -p.load.MemoryTokens})
 }
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -120,7 +120,11 @@
 	startedAt := n.now()
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	connection, err := p.server.pool.Connect(ctx, n.checkRequest(p))
+	var check *upstream.Request
+	if !n.backends.isLimited(p.server) && !n.rooms.isBrittle(p.server) {
+		check = n.checkRequest(p)
+	}
+	connection, err := p.server.pool.Connect(ctx, check)
 	if err != nil {
 		return
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -303,6 +303,7 @@
 	d.Moves = n.moves.ownReport()
 	d.Contents = n.quarantiner.table.Outgoing(maxDigestContents)
 	d.Limits = n.limits.table.Outgoing(maxDigestLimits)
+	d.Brittle = n.rooms.table.Outgoing(maxDigestLimits)
 	if sequence%digestsPerUsage == 0 || d.Draining {
 		m.addUsageAndWork(&d, now)
 	}
@@ -361,11 +362,13 @@
 	n.clock.update(d.VM, d.WallMillis, now)
 	if !wasReachable {
 		n.quarantiner.table.ResendAll()
+		n.rooms.table.ResendAll(now)
 	}
 	if len(d.Contents) > 0 {
 		n.quarantiner.merge(d.Contents, d.VM)
 	}
 	n.limits.merge(d.Limits, d.VM, now)
+	n.rooms.merge(d.Brittle, d.VM, now)
 	n.duties.recordHolder(holder.HolderReport, now)
 	n.wakeFollowers(d)
 	if update.Key == "" {
@@ -419,7 +422,12 @@
 	m.mu.Lock()
 	weights := m.core.VMCounts(now)
 	count := m.core.Count(now)
+	var serving []string
+	for _, x := range m.core.ServingPeers(now) {
+		serving = append(serving, x.VM)
+	}
 	m.mu.Unlock()
+	m.node.backends.setServingVMs(serving)
 	m.node.quota.SetPeers(weights, now)
 	m.node.backends.setActiveKeys(weights)
 	m.node.metrics.members.Set(float64(count))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,7 @@
 	storeEra           prometheus.Gauge
 	permits            *prometheus.CounterVec
 	serverLimits       *prometheus.GaugeVec
+	brittleServers     *prometheus.GaugeVec
 	tunnels            *prometheus.CounterVec
 	servedTunnels      prometheus.Gauge
 	linksCut           *prometheus.GaugeVec
@@ -83,6 +84,9 @@
 		serverLimits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_server_limit", Help: "Requests per second that a backend server takes from all VMs, as it has named them.",
 		}, []string{"server", "service"}),
+		brittleServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_brittle_server_places", Help: "Places of a backend server that states that it fails if it has to reject many requests.",
+		}, []string{"server", "service"}),
 		tunnels:       counter("tunnels_total", "Connections to backend servers that peers were asked for as the VM's own links to them were cut, by service and result.", "service", "result"),
 		servedTunnels: gauge("served_tunnels", "Connections to backend servers that are open for peers."),
 		linksCut: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -100,6 +104,6 @@
 		}, []string{"importance"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -103,6 +103,7 @@
 	answerMemory     *answerMemory
 	quarantiner      *quarantiner
 	limits           *serverLimits
+	rooms            *serverRooms
 	links            *serverlinks.Table
 	tunnels          *tunnels
 	moves            *versionMoves
@@ -177,6 +178,9 @@
 	n.moves = newVersionMoves(n)
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
 	n.limits = newServerLimits(n)
+	n.rooms = newServerRooms(n)
+	n.backends.self = settings.VM
+	n.backends.unixMillis = n.clock.unixMillis
 	n.links = serverlinks.NewTable()
 	n.tunnels = newTunnels(n)
 	n.backends.members = n.members.count
@@ -349,6 +353,7 @@
 		n.backends.sweep(n.now())
 		n.quarantiner.sweep()
 		n.limits.sweep(n.now())
+		n.rooms.sweep(n.now())
 		for _, f := range []*follower{n.operatorFollower, n.serverFollower} {
 			if c := f.confirmation(); !c.At.IsZero() {
 				n.metrics.confirmationAge.WithLabelValues(f.topic).Set(n.now().Sub(c.At).Seconds())
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -99,11 +99,15 @@
 // takePermit gets a permit for an attempt on a server that has named a limit, and reports
 // whether the request may be sent there.
 func (l *serverLimits) takePermit(ctx context.Context, p *placedAttempt, parts []platform.Part) bool {
-	n, now := l.node, l.node.now()
+	n := l.node
 	service := p.server.service
+	if !n.rooms.takePlace(ctx, p) {
+		return false
+	}
 	if _, limited := l.table.Rate(p.server.shortHash, p.info.StartedAtMillis); !limited {
 		return true
 	}
+	now := n.now()
 	ask, s := l.table.Begin(p.server.shortHash, p.info.StartedAtMillis, n.members.count(), now)
 	granted := false
 	switch ask {
@@ -112,7 +116,7 @@
 	case serverlimit.OwnShare:
 		granted = true
 	case serverlimit.AskGranter:
-		reply, err := l.ask(ctx, s)
+		reply, err := l.ask(ctx, &relayapi.PermitRequest{Server: s.Server, Rate: s.Rate})
 		now = n.now()
 		if err != nil {
 			l.table.AskFailed(s.Server, now)
@@ -140,9 +144,8 @@
 var errNoGranter = errors.New("no VM holds the lease")
 
 // ask asks the granter for a permit.
-func (l *serverLimits) ask(ctx context.Context, s serverlimit.Statement) (*relayapi.PermitReply, error) {
+func (l *serverLimits) ask(ctx context.Context, request *relayapi.PermitRequest) (*relayapi.PermitReply, error) {
 	n := l.node
-	request := &relayapi.PermitRequest{Server: s.Server, Rate: s.Rate}
 	granter := n.members.granter()
 	switch granter {
 	case "":
@@ -157,6 +160,9 @@
 
 // Permit handles a call for a permit.
 func (n *Node) Permit(_ context.Context, in *relayapi.PermitRequest) (*relayapi.PermitReply, error) {
+	if in.Places > 0 || in.Release > 0 {
+		return n.rooms.permit(in), nil
+	}
 	granted, wait := n.limits.granter.Ask(in.Server, in.Rate, n.now())
 	// A wait of less than a millisecond must not become none.
 	return &relayapi.PermitReply{Granted: granted, WaitMillis: (wait + time.Millisecond - 1).Milliseconds()}, nil
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -45,6 +45,7 @@
 	fieldDocumentAge
 	fieldServersAge
 	fieldLimit
+	fieldBrittle
 )
 
 // limitUnits is the number of units on the wire of a limit of one request per second.
@@ -165,12 +166,10 @@
 		b = appendMessage(b, fieldMove, appendVarint(inner, 13, m.OldSent))
 	}
 	for _, l := range d.Limits {
-		inner = appendVarint(inner[:0], 1, uint64(l.Server))
-		inner = appendVarint(inner, 2, uint64(l.At))
-		if !l.Ended {
-			inner = appendVarint(inner, 3, uint64(math.Round(l.Rate*limitUnits))+1)
-		}
-		b = appendMessage(b, fieldLimit, inner)
+		b = appendMessage(b, fieldLimit, appendStatement(inner[:0], &l))
+	}
+	for _, l := range d.Brittle {
+		b = appendMessage(b, fieldBrittle, appendStatement(inner[:0], &l))
 	}
 	for i := range d.Contents {
 		b = appendMessage(b, fieldContent, MarshalContent(&d.Contents[i]))
@@ -181,6 +180,23 @@
 	return b
 }
 
+func appendStatement(b []byte, s *serverlimit.Statement) []byte {
+	b = appendVarint(b, 1, uint64(s.Server))
+	b = appendVarint(b, 2, uint64(s.At))
+	if !s.Ended {
+		b = appendVarint(b, 3, uint64(math.Round(s.Rate*limitUnits))+1)
+	}
+	return appendVarint(b, 4, uint64(s.Places))
+}
+
+func decodeStatement(v []uint64) serverlimit.Statement {
+	s := serverlimit.Statement{Server: uint32(v[1]), At: int64(v[2] & math.MaxInt64), Ended: v[3] == 0, Places: int(clamp(v[4]))}
+	if !s.Ended {
+		s.Rate = min(float64(v[3]-1)/limitUnits, serverlimit.MaxRate)
+	}
+	return s
+}
+
 func appendMember(b []byte, m *gossip.Member, readsStore bool) []byte {
 	var flags uint64
 	if m.Ready {
@@ -354,11 +370,9 @@
 			NewSent: clamp(v[12]), OldSent: clamp(v[13]),
 		})
 	case fieldLimit:
-		s := serverlimit.Statement{Server: uint32(v[1]), At: int64(v[2] & math.MaxInt64), Ended: v[3] == 0}
-		if !s.Ended {
-			s.Rate = min(float64(v[3]-1)/limitUnits, serverlimit.MaxRate)
-		}
-		d.Limits = append(d.Limits, s)
+		d.Limits = append(d.Limits, decodeStatement(v[:]))
+	case fieldBrittle:
+		d.Brittle = append(d.Brittle, decodeStatement(v[:]))
 	case fieldUsage:
 		d.Usage = append(d.Usage, gossip.Usage{Window: int64(v[1]), Workspace: s, Count: int(clamp(v[3]))})
 	}
--- a/internal/protocol/digest/digest_test.go
+++ b/internal/protocol/digest/digest_test.go
@@ -15,6 +15,7 @@
 	d := &gossip.Digest{
 		Sequence: 7, WallMillis: 1_790_000_000_000, FencingToken: uint64(storelog.At(2, 40)), HolderEnd: storelog.At(2, 77), HolderAddress: "10.0.0.9:1", HolderAgeMillis: 30, DocumentEnd: storelog.At(2, 5), ServersEnd: storelog.At(2, 90),
 		Limits:      []serverlimit.Statement{{Server: 9, Rate: 0.3, At: 1_790_000_000_000}, {Server: 10, At: 1_790_000_000_001}, {Server: 11, Ended: true, At: 1_790_000_000_002}},
+		Brittle:     []serverlimit.Statement{{Server: 9, Rate: 3, Places: 6, At: 1_790_000_000_000}, {Server: 11, Ended: true, At: 1_790_000_000_002}},
 		DocumentAge: gossip.ConfirmationAge{Known: true}, ServersAge: gossip.ConfirmationAge{Known: true, Millis: 1234},
 		Kind: gossip.Zone, Count: 3, ReadsStore: true,
 		Loads:          []gossip.Load{{Server: 5, PrefillTokens: 640, Running: 3, MemoryTokens: 2560}},
--- a/internal/protocol/relayapi/relayapi.go
+++ b/internal/protocol/relayapi/relayapi.go
@@ -46,6 +46,12 @@
 type PermitRequest struct {
 	Server uint32  `json:"server"`
 	Rate   float64 `json:"rate"`
+	// Places is set if the permit is for one of the server's places, which is held for
+	// HoldMillis unless it is released before. Release is the lease of a place that is free
+	// again; nothing is asked for then.
+	Places     int    `json:"places,omitempty"`
+	HoldMillis int64  `json:"hold_ms,omitempty"`
+	Release    uint64 `json:"release,omitempty"`
 }
 
 // PermitReply is the answer to a PermitRequest. If it is not granted, WaitMillis is the time
@@ -53,6 +59,8 @@
 type PermitReply struct {
 	Granted    bool  `json:"granted,omitempty"`
 	WaitMillis int64 `json:"wait_ms,omitempty"`
+	// Lease identifies a granted place.
+	Lease uint64 `json:"lease,omitempty"`
 }
 
 // Server implements the calls.
