gateway: a server's statement was lost with the request whose answer contained it

A server that had asked a VM for a backoff got its requests nevertheless: 27 to 37 in the rest of 3 s, allowed 2, in five cases.

Cause: heads of answers were decoded by the goroutine of the request that waits for them. An attempt that was given up, or whose caller had left, closed its connection unread, and the answers to checks were read for their ids only.

Change: the connection reads what a server states, from every head that arrives (upstream.Config.OnHead). A request that is cancelled before its answer begins closes the connection for sending only: the server sees its end as before, and the head is awaited for 2 s, on at most a quarter of a server's connections. Limits, brittle servers, leaving servers and backoffs are all read there.

--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -24,9 +24,11 @@
 	patiencePauses    = 8
 )
 
-// recordStatements records what a server states about itself in the answer to a request that
-// was sent to b at sentAt. id is the request's, empty for one of a peer.
-func (n *Node) recordStatements(b *backend, id string, sentAt time.Time, head platform.Answer) {
+// recordStatements records what a server states about itself in an answer that has arrived on a
+// connection to b, whatever has become of its request. sentAt is the time at which the last
+// request on that connection was sent.
+func (n *Node) recordStatements(b *backend, sentAt time.Time, head platform.Answer) {
+	id := head.ID
 	process, ok := n.announcer(b, head)
 	if !ok {
 		return
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -22,7 +22,6 @@
 	q.framing, q.partialEventBytes = answer.Framing(), 0
 	q.recordSent(a.placed)
 	q.node.backends.recordConnected(a.placed)
-	q.node.recordStatements(a.placed.server, q.call.ID, a.startedAt, a.head)
 	if answer.OnNewConnection && !a.isTunneled.Load() {
 		q.node.recordLinkWorked(a.placed.server, a.startedAt)
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,9 @@
 	minConnections = 4
 	// recentlyHeard is the age up to which received bytes show that a server answers.
 	recentlyHeard = 250 * time.Millisecond
+	// cancelledHeadWait is the time for which a server's answer to a request that was
+	// cancelled may still begin, so that what the server states is known.
+	cancelledHeadWait = 2 * time.Second
 	// silentBackoff is the time after a check without an answer until the next one.
 	silentBackoff = 500 * time.Millisecond
 )
@@ -122,6 +126,8 @@
 	// unixMillis returns the time on which the VMs agree.
 	unixMillis func(now time.Time) int64
 	members    func() int
+	// onHead is called with the head of each answer of a server.
+	onHead func(b *backend, status int, header http.Header, sentAt time.Time)
 	// dial opens connections to servers, see upstream.Config.Dial.
 	dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 	// serviceConfig returns the document's entry for a service, or nil if there is
@@ -197,6 +203,12 @@
 		MaxConnections: func() int {
 			return max(int(connectionShare*float64(t.maxConnections(service)))/t.members(), minConnections)
 		},
+		HeadWait: cancelledHeadWait,
+		OnHead: func(status int, header http.Header, sentAt time.Time) {
+			if t.onHead != nil {
+				t.onHead(b, status, header, sentAt)
+			}
+		},
 		OnData: func() { b.heardAt.Store(int64(time.Since(t.startedAt))) },
 	})
 	t.byID[s.ID] = b
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -179,6 +180,9 @@
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
 	n.limits = newServerLimits(n)
 	n.rooms = newServerRooms(n)
+	n.backends.onHead = func(b *backend, status int, header http.Header, sentAt time.Time) {
+		n.recordStatements(b, sentAt, platform.DecodeAnswer(status, header))
+	}
 	n.backends.self = settings.VM
 	n.backends.unixMillis = n.clock.unixMillis
 	n.links = serverlinks.NewTable()
--- a/internal/gateway/tunnel_server.go
+++ b/internal/gateway/tunnel_server.go
@@ -109,7 +109,7 @@
 				n.recordLinkWorked(server, startedAt)
 			}
 			if answer := observer.observe(buffer[:size]); answer != nil {
-				n.recordStatements(server, "", startedAt, platform.DecodeAnswer(answer.StatusCode, answer.Header))
+				n.recordStatements(server, startedAt, platform.DecodeAnswer(answer.StatusCode, answer.Header))
 			}
 			if _, sendErr := tunnel.Write(buffer[:size]); sendErr != nil {
 				return sendErr
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -57,6 +57,13 @@
 	// OnData is called whenever the head of an answer to a request, or a part of its
 	// body, has arrived from the server. It may be nil.
 	OnData func()
+	// OnHead is called with the head of each final answer that arrives, whatever request it
+	// belongs to, and the time at which the last request on its connection was sent. It may
+	// be nil.
+	OnHead func(status int, header http.Header, sentAt time.Time)
+	// HeadWait is the time for which the head of an answer is still awaited once its request
+	// has been cancelled. The connection is closed for sending meanwhile.
+	HeadWait time.Duration
 	// Dial opens connections in place of the dialer, which has the timeouts and options
 	// for the connection. It may be nil.
 	Dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
@@ -100,6 +107,7 @@
 	mu        sync.Mutex
 	idle      []*conn // in the order of their last use
 	openCount int     // connections in use, idle or being opened
+	lingering int     // those in use whose requests have been cancelled
 	closed    bool
 }
 
@@ -209,6 +217,11 @@
 	written    chan error
 	stopCancel func() bool
 	closeOnce  sync.Once
+	sentAt     time.Time
+	// mu guards hasHead, which is set once the head has been read or given up, and lingers,
+	// which is set if the request was cancelled before and the head is still awaited.
+	mu               sync.Mutex
+	hasHead, lingers bool
 }
 
 // End states how the end of an answer was recognized.
@@ -279,22 +292,74 @@
 
 // exchange sends the request on a connection and reads the head of its answer.
 func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Answer, error) {
-	a := &Answer{pool: p, conn: c, onData: req.OnData, OnNewConnection: !c.reused, written: make(chan error, 1)}
-	a.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	a := &Answer{pool: p, conn: c, onData: req.OnData, OnNewConnection: !c.reused, written: make(chan error, 1), sentAt: time.Now()}
+	a.stopCancel = context.AfterFunc(ctx, a.cancel)
 	err := errors.Wrap(a.write(req), "write request")
 	if err == nil {
 		err = a.readHead(req)
 	}
+	lingers := a.endHead()
 	if err == nil {
 		return a, nil
 	}
-	a.Close()
+	if lingers && !errors.Is(err, ErrAnswerStarted) {
+		go a.linger(req)
+	} else {
+		a.Close()
+	}
 	if a.OnNewConnection {
 		err = errors.Mark(err, ErrNewConnection)
 	}
 	return nil, errors.Mark(err, ErrIncomplete)
 }
 
+// cancel ends the exchange because its context has ended. If the answer has not begun, the
+// connection is only closed for sending: the server stops its work as if it were closed, and
+// what it still states can be read.
+func (a *Answer) cancel() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	half, ok := a.conn.Conn.(interface{ CloseWrite() error })
+	if !ok || a.hasHead || !a.requestWritten() || !a.pool.mayLinger() {
+		_ = a.conn.Close()
+		return
+	}
+	a.lingers = true
+	if half.CloseWrite() != nil || a.conn.SetReadDeadline(time.Now()) != nil {
+		_ = a.conn.Close()
+	}
+}
+
+// endHead records that the head has been read or given up, and reports whether the request was
+// cancelled before.
+func (a *Answer) endHead() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hasHead = true
+	return a.lingers
+}
+
+// linger awaits the head of the answer to a cancelled request.
+func (a *Answer) linger(req Request) {
+	if a.conn.SetReadDeadline(time.Now().Add(a.pool.cfg.HeadWait)) == nil {
+		// An error tells nothing that matters: nobody waits for the answer.
+		_ = a.readHead(req)
+	}
+	a.Close()
+}
+
+// mayLinger counts a connection whose request has been cancelled, unless a quarter of the
+// pool's connections are in that state.
+func (p *Pool) mayLinger() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.cfg.HeadWait <= 0 || p.lingering >= (p.cfg.MaxConnections()+3)/4 {
+		return false
+	}
+	p.lingering++
+	return true
+}
+
 // write sends the request and reports the result on a.written. A body longer
 // than maxInlineBodyBytes is written in the background.
 func (a *Answer) write(req Request) error {
@@ -382,6 +447,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if a.pool.cfg.OnHead != nil {
+			a.pool.cfg.OnHead(resp.StatusCode, resp.Header, a.sentAt)
+		}
 		if req.Matches(resp.StatusCode, resp.Header) {
 			a.Status, a.Header, a.resp = resp.StatusCode, resp.Header, resp
 			a.Body = body{answer: a, inner: resp.Body}
@@ -439,6 +507,11 @@
 // answer permits it. Further calls have no effect.
 func (a *Answer) Close() {
 	a.closeOnce.Do(func() {
+		if a.lingers {
+			a.pool.mu.Lock()
+			a.pool.lingering--
+			a.pool.mu.Unlock()
+		}
 		if !a.stopCancel() || !a.keepsConnection() {
 			a.pool.discard(a.conn)
 			return
