gateway: VMs asked each other about crashed servers without end

When servers crashed, each peer that could not connect to one either took that for evidence about its own links and asked its peers in turn: a few hundred calls in 50 ms (log of TestOperatorCannotLiftQuarantine), as long as the servers were down. A failed connection for a peer is no evidence now, a check that finds no cut forgets the failures, and the next one comes 0.3 s later at the earliest.

--- a/internal/coordination/serverlinks/serverlinks.go
+++ b/internal/coordination/serverlinks/serverlinks.go
@@ -18,6 +18,8 @@
 	minServers = 2
 	// failureWindow is the time for which a failure counts.
 	failureWindow = 3 * time.Second
+	// checkInterval is the shortest time between two checks of suspected links.
+	checkInterval = 300 * time.Millisecond
 )
 
 // Table holds the verdicts of one VM. It is safe for concurrent use; its lock is a leaf lock.
@@ -34,6 +36,7 @@
 	workedAt time.Time
 	// isChecking is set while other servers are probed because the links are suspected.
 	isChecking bool
+	checkedAt  time.Time
 	cut        bool
 	cutAt      time.Time
 	// answered holds the servers that have answered a probe since the cut.
@@ -70,7 +73,7 @@
 			delete(s.failures, other)
 		}
 	}
-	if s.cut || s.isChecking || len(s.failures) < min(minServers, max(servers, 1)) {
+	if s.cut || s.isChecking || now.Sub(s.checkedAt) < checkInterval || len(s.failures) < min(minServers, max(servers, 1)) {
 		return false
 	}
 	s.isChecking = true
@@ -93,9 +96,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(name)
-	s.isChecking = false
+	s.isChecking, s.checkedAt = false, now
 	needed := min(minServers, max(servers, 1))
 	if s.cut || len(s.failures) < needed || reached < needed {
+		clear(s.failures)
 		return false
 	}
 	s.cut, s.cutAt, s.answered = true, now, map[string]bool{}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,7 +42,7 @@
 
 // fixture holds a store with backend servers, and the nodes' log lines.
 type fixture struct {
-	t     *testing.T
+	t     testing.TB
 	store *platformtest.Store
 	logs  *logBuffer
 }
@@ -82,7 +82,7 @@
 	return strings.Join(lines[max(len(lines)-count, 0):], "")
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	f := &fixture{t: t, store: platformtest.NewStore(), logs: &logBuffer{}}
 	t.Cleanup(f.store.Close)
 	t.Cleanup(func() {
@@ -157,7 +157,7 @@
 	header                      map[string]string
 }
 
-func (c call) request(t *testing.T, ctx context.Context, n *Node) *http.Request {
+func (c call) request(t testing.TB, ctx context.Context, n *Node) *http.Request {
 	t.Helper()
 	r, err := http.NewRequestWithContext(ctx, c.method, "http://"+n.settings.CallerAddress+c.path, strings.NewReader(c.body))
 	if err != nil {
@@ -183,7 +183,7 @@
 }
 
 // do sends a call over a new connection.
-func do(t *testing.T, n *Node, c call) reply {
+func do(t testing.TB, n *Node, c call) reply {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -12,7 +12,7 @@
 }
 
 // value returns the value of a counter with the given label values, 0 if there is none.
-func (m *metrics) value(t *testing.T, name string, labels ...string) float64 {
+func (m *metrics) value(t testing.TB, name string, labels ...string) float64 {
 	t.Helper()
 	families, err := m.registry.Gather()
 	if err != nil {
--- a/internal/gateway/tunnel_server.go
+++ b/internal/gateway/tunnel_server.go
@@ -90,7 +90,8 @@
 	case errors.Is(err, upstream.ErrConnectionLimit) || ctx.Err() != nil:
 		return nil, nil, relayapi.RejectedBusy
 	}
-	n.recordLinkFailure(server, now)
+	// This is no evidence for a check of this VM's own links: the servers may be down, and the
+	// peers would ask each other in turn.
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, nil, relayapi.RejectedRefused
 	}
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -171,3 +171,29 @@
 		cancel()
 	}
 }
+
+// BenchmarkTunnel measures a request on the VM's own links and one through a tunnel.
+func BenchmarkTunnel(b *testing.B) {
+	for _, form := range []cutForm{linksUp, linksRefuse} {
+		b.Run(map[cutForm]string{linksUp: "direct", linksRefuse: "tunnel"}[form], func(b *testing.B) {
+			f := newFixture(b)
+			f.addServer("s-1", nil)
+			f.addServer("s-2", nil)
+			nodes, cuts := startLinkedNodes(f, 2, 2)
+			cuts[0].set(form)
+			caller := platformtest.NewCaller(nodes[0].settings.CallerAddress)
+			defer caller.Close()
+			send := func(id string) int {
+				return caller.Do(context.Background(), platformtest.Request{ID: id, Method: http.MethodPost, Path: "/again/x", Key: "key-w", Body: id, Timeout: 2500 * time.Millisecond}).Status
+			}
+			f.eventually("the verdict is known", func() bool {
+				return send("first") == http.StatusOK && nodes[0].usesTunnels("s") == (form == linksRefuse)
+			})
+			for b.Loop() {
+				if status := send("id"); status != http.StatusOK {
+					b.Fatalf("status %d", status)
+				}
+			}
+		})
+	}
+}
