gateway: the end of a cut was seen too early or too late

- Probes every 0.3 s instead of 0.5 s.
No probe is sent before a peer has reached a server that this VM does not: usually the servers are down.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -606,11 +606,11 @@
 func (t *backendTable) nextDue(query *serverQuery, now time.Time) (due time.Time, isLimit, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rooms := t.roomsOf(query.service, now)
+	places := t.roomsOf(query.service, now)
 	for _, b := range t.byService[query.service] {
 		until := b.announced.BackoffUntil
 		roomAt, limited := t.roomAt(b, now)
-		if !rooms.hasPlace(b) {
+		if !places.hasPlace(b) {
 			roomAt, limited = later(roomAt, now.Add(placeCheckInterval)), true
 		}
 		limited = limited && !roomAt.Before(until)
@@ -639,12 +639,12 @@
 // The caller must hold the lock.
 func (t *backendTable) usable(query *serverQuery, now time.Time) []*backend {
 	var available, full, removed, unreachable []*backend
-	rooms := t.roomsOf(query.service, now)
+	places := t.roomsOf(query.service, now)
 	for _, b := range t.byService[query.service] {
 		switch {
 		case query.exclude[b.info.ID] || b.info.Leaving || !query.versions.allows(&b.info):
 		case !b.announced.MaySend(now) || !t.mayHaveRoom(b, query, now):
-		case rooms != nil && rooms.isBrittle(b) && (query.skipLimited || !rooms.hasPlace(b) || query.isReplacement && !rooms.isDivided(b)):
+		case places.isBrittle(b) && (query.skipLimited || !places.hasPlace(b) || query.isReplacement && !places.isDivided(b)):
 		case !b.removedAt.IsZero():
 			if now.Sub(b.removedAt) < maxUseAfterRemoval {
 				removed = append(removed, b)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -15,7 +15,7 @@
 const (
 	// linkProbeInterval is the time between two probes of a service's servers while the
 	// links to them are cut.
-	linkProbeInterval = 500 * time.Millisecond
+	linkProbeInterval = 300 * time.Millisecond
 	// probesAtOnce is the number of servers that are probed at the same time.
 	probesAtOnce = 2
 	// peerChecks is the number of servers that peers are asked to connect to when links are
@@ -49,8 +49,8 @@
 	}
 }
 
-// checkLinks decides whether the links to a service's servers are cut: no server answers a
-// probe to which no connection has failed, and a peer reaches servers to which one has. If so,
+// checkLinks decides whether the links to a service's servers are cut: a peer reaches servers
+// to which connections have failed, and none of the others answers a probe. If so,
 // what was recorded about the servers is forgotten: it was no evidence.
 func (n *Node) checkLinks(service string) {
 	var failed, others []*placedAttempt
@@ -61,11 +61,8 @@
 			others = append(others, p)
 		}
 	}
-	var checks sync.WaitGroup
+	var checks, probes sync.WaitGroup
 	var reached atomic.Int32
-	for _, p := range draw(others, probesAtOnce) {
-		checks.Go(func() { n.probeLink(n.ctx, p) })
-	}
 	for _, p := range draw(failed, peerChecks) {
 		checks.Go(func() {
 			if state, ok := n.checkServerThroughPeer(p.server); ok && state == serverNotChecked {
@@ -74,11 +71,18 @@
 		})
 	}
 	checks.Wait()
+	// Usually the servers are down, and no probe is needed.
+	if reached.Load() > 0 {
+		for _, p := range draw(others, probesAtOnce) {
+			probes.Go(func() { n.probeLink(n.ctx, p) })
+		}
+	}
+	probes.Wait()
 	now, servers := n.now(), len(n.backends.servers(service))
 	if !n.links.Checked(service, servers, int(reached.Load()), now) {
 		return
 	}
-	n.log.Failure("links", "cut", "service", service, "servers", servers, "failed", len(failed), "reached-by-peers", reached.Load(), "peers", len(n.members.tunnelPeers()))
+	n.log.Failure("links", "cut", "service", service, "servers", servers, "failed", len(failed), "reached-by-peers", int(reached.Load()), "peers", len(n.members.tunnelPeers()))
 	n.metrics.linksCut.WithLabelValues(service).Set(1)
 	n.backends.forgetFailures(service)
 	n.health.Forget(service, now)
@@ -115,19 +119,29 @@
 	n.members.sendEarly()
 }
 
-// probeLink asks a server whether it answers.
+// probeLink asks a server whether it answers, or only connects to one that is to get no request
+// more than necessary.
 func (n *Node) probeLink(ctx context.Context, p *placedAttempt) {
 	startedAt := n.now()
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	var check *upstream.Request
-	if !n.backends.isLimited(p.server) && !n.rooms.isBrittle(p.server) {
+	isSpared := n.backends.isLimited(p.server) || n.rooms.isBrittle(p.server)
+	if !isSpared {
 		check = n.checkRequest(p)
 	}
 	connection, err := p.server.pool.Connect(ctx, check)
 	if err != nil {
 		return
 	}
+	if isSpared {
+		// A connection that is reset once it is open shows no link.
+		sleep(ctx, settleTime)
+	}
+	isOpen := connection.IsOpen()
 	connection.Release()
+	if !isOpen {
+		return
+	}
 	n.recordLinkWorked(p.server, startedAt)
 }
--- a/internal/gateway/lost_links_test.go
+++ b/internal/gateway/lost_links_test.go
@@ -98,6 +98,10 @@
 	})
 }
 
+func (c *linkConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
 // pass waits while the links hang.
 func (c *linkConn) pass() error {
 	for {
--- a/internal/gateway/server_rooms.go
+++ b/internal/gateway/server_rooms.go
@@ -183,7 +183,7 @@
 		return true
 	}
 	if !isShared {
-		hold := tunnelOpenTimeout
+		hold := defaultRequestTimeout
 		if end, ok := ctx.Deadline(); ok {
 			hold = end.Sub(now)
 		}
--- a/internal/gateway/tunnel_server.go
+++ b/internal/gateway/tunnel_server.go
@@ -78,11 +78,16 @@
 		return nil, nil, relayapi.RejectedBusy
 	case server == nil:
 		return nil, nil, relayapi.RejectedUnknown
-	case n.links.IsCut(server.service):
-		return nil, nil, relayapi.RejectedCut
 	case !n.backends.wantsRequests(server, now):
 		return nil, nil, relayapi.RejectedAnnounced
 	}
+	if n.links.IsCut(server.service) {
+		// The cut may have ended: a few are tried, where all VMs are cut off.
+		if !n.checks.acquire(server.service) {
+			return nil, nil, relayapi.RejectedCut
+		}
+		defer n.checks.release(server.service)
+	}
 	connection, err := server.pool.Dial(ctx)
 	switch {
 	case err == nil:
@@ -92,7 +97,10 @@
 	}
 	// This is no evidence for a check of this VM's own links: the servers may be down, and the
 	// peers would ask each other in turn.
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case n.links.IsCut(server.service):
+		return nil, nil, relayapi.RejectedCut
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, nil, relayapi.RejectedRefused
 	}
 	return nil, nil, relayapi.RejectedUnreachable
--- a/internal/transport/upstream/connection.go
+++ b/internal/transport/upstream/connection.go
@@ -54,6 +54,9 @@
 	c.pool.release(c.conn)
 }
 
+// IsOpen reports whether the other end has neither closed the connection nor sent anything.
+func (c *Connection) IsOpen() bool { return isReusable(c.conn.Conn) }
+
 // Adopt returns a connection to the pool's server that was opened elsewhere. It carries one
 // request and does not count as one of the pool's.
 func (p *Pool) Adopt(raw net.Conn) *Connection {
