gateway: looking for brittle servers took a lock for each server of the service

Each choice of a server looked each of them up, also where no server has ever been brittle: a lock for each of 140 servers, two times a request. One look at the table is enough then.

--- a/internal/coordination/serverlimit/serverlimit.go
+++ b/internal/coordination/serverlimit/serverlimit.go
@@ -192,6 +192,13 @@
 	return e.Statement, true
 }
 
+// IsEmpty reports whether no server has stated anything.
+func (t *Table) IsEmpty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries) == 0
+}
+
 // ResendAll sends all statements once more, for a peer that has started or returned.
 func (t *Table) ResendAll(now time.Time) {
 	t.mu.Lock()
--- a/internal/gateway/server_rooms.go
+++ b/internal/gateway/server_rooms.go
@@ -127,6 +127,9 @@
 
 // roomsOf returns the rooms of a service. The caller must hold the lock.
 func (t *backendTable) roomsOf(service string, now time.Time) *rooms {
+	if t.brittle.IsEmpty() {
+		return nil
+	}
 	for _, b := range t.byService[service] {
 		if s, ok := t.brittle.Statement(b.shortHash); ok && !s.Ended {
 			return &rooms{table: t, totals: t.peerTotals(now), now: now}
