quarantine: losses from before a lift no longer count after it

Cause: an entry's generation drops the losses that were known when its quarantine was lifted. A loss from before the lift that a VM records after it, as it first asks the server or a peer whether the server has ended, was added to the new generation, where one loss suffices.

Change: losses count from the last lift on, by the time at which they happened.

Evidence: TestLossBeforeLiftQuarantinesAgain fails before (refused, one loss) and passes after.

--- a/internal/coordination/quarantine/parts.go
+++ b/internal/coordination/quarantine/parts.go
@@ -103,8 +103,9 @@
 	var v evidence
 	var burstStart int64
 	burstWeight := 0
+	since := e.countsSince()
 	for _, ev := range e.Events {
-		if ev.AtMillis <= e.VouchedMillis {
+		if ev.AtMillis <= since {
 			continue
 		}
 		switch ev.Kind {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -235,13 +235,20 @@
 // servers.
 type lossCounts struct{ ended, interrupted, servers int }
 
-// losses returns the losses since a VM last vouched for the content. Those of a server
-// within sameLossWindow count as one: several VMs, and several requests of one VM,
-// observe the same loss.
+// countsSince returns the Unix time in milliseconds up to which losses and answers do not
+// count: the last answer that vouched for the unit, or the end of its quarantine. A VM may
+// find out about a loss only after that.
+func (e *Entry) countsSince() int64 {
+	return max(e.VouchedMillis, e.lastAtMillis(Lifted))
+}
+
+// losses returns the losses since countsSince. Those of a server within sameLossWindow
+// count as one: several VMs, and several requests of one VM, observe the same loss.
 func (e *Entry) losses() lossCounts {
+	since := e.countsSince()
 	var counted []Event
 	for _, ev := range e.Events {
-		if !ev.isLoss() || ev.AtMillis <= e.VouchedMillis {
+		if !ev.isLoss() || ev.AtMillis <= since {
 			continue
 		}
 		same := slices.IndexFunc(counted, func(x Event) bool {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -333,6 +333,24 @@
 	}
 }
 
+// TestLossBeforeLiftQuarantinesAgain: the server of a loss was still being checked when an
+// operator lifted the quarantine.
+func TestLossBeforeLiftQuarantinesAgain(t *testing.T) {
+	table, now := quarantined(t)
+	entry, _ := table.Entry(crashing, now)
+	lifted := now.Add(time.Second)
+	table.Merge([]Entry{entry.Lift(lifted)}, "store", lifted)
+	loss := Loss{Content: crashing, Service: service, Server: 9, Kind: Ended, At: lifted.Add(-200 * time.Millisecond)}
+	table.RecordLoss(loss, lifted.Add(100*time.Millisecond))
+	if d := table.Check(crashing, service, lifted.Add(200*time.Millisecond)); d.Refused {
+		t.Errorf("after a loss before the lift: %+v", d)
+	}
+	lose(table, crashing, 9, Ended, lifted.Add(2*time.Second))
+	if d := table.Check(crashing, service, lifted.Add(2*time.Second)); !d.Refused {
+		t.Errorf("after a loss since the lift: %+v", d)
+	}
+}
+
 func TestRepairedContentIsServedAgain(t *testing.T) {
 	table, now := quarantined(t)
 	now = now.Add(trialDelays[0])
