gateway: losses that cut links may have caused do not count for a move

Callers saw nothing yet, but an operator's move to a sound version could be rolled back.

Cause: attempts that were lost before the verdict on a VM's links counted as bad answers of their version. Where open connections live on and new ones are reset, that is not the same for both versions: the new one has few requests, so that its connections are idle for longer than the 300 ms for which requests that may not repeat use one, and most of its attempts need a new connection.

Change: while the links to a service's servers are suspected, its losses of the last 2 s are taken back from the VM's evidence, and further ones are kept. They count again unless the links are cut. Without suspicion nothing changes: a version whose server crashes is judged as before, as connections to two servers must fail first, and peers that do not reach them either end the suspicion within milliseconds.

Evidence: TestCutLinksRollSoundVersionBack, three of four VMs cut every other second, during a move to a version that is as good.

--- a/internal/coordination/movephase/movephase.go
+++ b/internal/coordination/movephase/movephase.go
@@ -64,6 +64,18 @@
 	e.OldSlow += o.OldSlow
 }
 
+// subtract takes the counts of answers of o back, as far as there are any.
+func (e *Evidence) subtract(o Evidence) {
+	e.NewAnswers -= min(e.NewAnswers, o.NewAnswers)
+	e.NewFailures -= min(e.NewFailures, o.NewFailures)
+	e.OldAnswers -= min(e.OldAnswers, o.OldAnswers)
+	e.OldFailures -= min(e.OldFailures, o.OldFailures)
+	e.NewTimed -= min(e.NewTimed, o.NewTimed)
+	e.NewSlow -= min(e.NewSlow, o.NewSlow)
+	e.OldTimed -= min(e.OldTimed, o.OldTimed)
+	e.OldSlow -= min(e.OldSlow, o.OldSlow)
+}
+
 // Config sets the shares, times and thresholds of a move.
 type Config struct {
 	// TrialShare is the share of requests that the new version gets in the
@@ -469,6 +481,41 @@
 	m.add(route, Evidence{OldAnswers: 1, OldFailures: n})
 }
 
+// Loss is an attempt that got no answer, or none in time.
+type Loss struct {
+	Service, Route, Version string
+	// IsSlow is set if the attempt may still get an answer, which is slow then.
+	IsSlow bool
+}
+
+// CountLoss counts a loss in the evidence of this node.
+func (t *Table) CountLoss(l Loss) { t.addLoss(l, (*Evidence).Add) }
+
+// TakeBack takes back one CountLoss.
+func (t *Table) TakeBack(l Loss) { t.addLoss(l, (*Evidence).subtract) }
+
+func (t *Table) addLoss(l Loss, apply func(e *Evidence, o Evidence)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.moves[l.Service]
+	if !ok || m.Phase >= Done {
+		return
+	}
+	e := Evidence{OldAnswers: 1, OldFailures: 1}
+	switch isNew := l.Version == m.Target; {
+	case isNew && l.IsSlow:
+		e = Evidence{NewTimed: 1, NewSlow: 1}
+	case isNew:
+		e = Evidence{NewAnswers: 1, NewFailures: 1}
+	case l.IsSlow:
+		e = Evidence{OldTimed: 1, OldSlow: 1}
+	}
+	apply(&m.OwnEvidence, e)
+	r := m.OwnRoutes[l.Route]
+	apply(&r, e)
+	m.OwnRoutes[l.Route] = r
+}
+
 // usualRatioWindow is the number of answers over which the usual ratio is averaged.
 const usualRatioWindow = 200
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -45,6 +45,9 @@
 func (n *Node) recordLinkFailure(b *backend, startedAt time.Time) {
 	servers := len(n.backends.servers(b.service))
 	if n.links.Failed(b.service, b.id, servers, startedAt, n.now()) {
+		if n.moves.losses.doubt(b.service, n.now()) {
+			n.members.sendEarly()
+		}
 		go n.checkLinks(b.service)
 	}
 }
@@ -79,7 +82,9 @@
 	}
 	probes.Wait()
 	now, servers := n.now(), len(n.backends.servers(service))
-	if !n.links.Checked(service, servers, int(reached.Load()), now) {
+	isCut := n.links.Checked(service, servers, int(reached.Load()), now)
+	n.moves.losses.settle(service, isCut, now)
+	if !isCut {
 		return
 	}
 	n.log.Failure("links", "cut", "service", service, "servers", servers, "failed", len(failed), "reached-by-peers", int(reached.Load()), "peers", len(n.members.tunnelPeers()))
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -29,6 +29,8 @@
 	published map[string]publishedStatus
 	// attempts holds the attempts in progress of services with a move in progress.
 	attempts map[*placedAttempt]versionAttempt
+
+	losses *moveLosses
 }
 
 // versionAttempt is the evidence about a move from an attempt in progress.
@@ -54,9 +56,11 @@
 }
 
 func newVersionMoves(n *Node) *versionMoves {
+	table := movephase.NewTable(movephase.DefaultConfig)
 	return &versionMoves{
 		node:        n,
-		table:       movephase.NewTable(movephase.DefaultConfig),
+		table:       table,
+		losses:      newMoveLosses(table),
 		peerReports: map[string]peerReport{},
 		published:   map[string]publishedStatus{},
 		attempts:    map[*placedAttempt]versionAttempt{},
@@ -190,7 +194,7 @@
 		if a.timed || v.isCold(p, now) || !v.table.IsOverdue(p.info.Service, ratio) || !v.markTimed(p) {
 			continue
 		}
-		v.table.RecordRatio(p.info.Service, a.route, p.info.SoftwareVersion, ratio)
+		v.losses.count(movephase.Loss{Service: p.info.Service, Route: a.route, Version: p.info.SoftwareVersion, IsSlow: true}, now)
 	}
 }
 
@@ -220,8 +224,10 @@
 	switch outcome {
 	case outcomeAnswered:
 		v.table.CountAnswer(p.info.Service, a.route, p.info.SoftwareVersion, a.failed)
-	case outcomeFailed, outcomeLost, outcomeUnresponsive, outcomeDeadline:
+	case outcomeFailed:
 		v.table.CountAnswer(p.info.Service, a.route, p.info.SoftwareVersion, true)
+	case outcomeLost, outcomeUnresponsive, outcomeDeadline:
+		v.losses.count(movephase.Loss{Service: p.info.Service, Route: a.route, Version: p.info.SoftwareVersion}, v.node.now())
 	}
 }
 
