gateway: one name for places at brittle servers, one function for stated rates

Statements about limits and about brittle servers were observed by two functions of one shape; observeRate has what they share. No change of behaviour.

--- a/internal/coordination/serverroom/serverroom.go
+++ b/internal/coordination/serverplaces/serverplaces.go
@@ -1,10 +1,10 @@
-// Package serverroom divides the places of backend servers among the VMs of a deployment, while
+// Package serverplaces divides the places of backend servers among the VMs of a deployment, while
 // the servers state that they fail if they have to reject many requests. A place is held for
 // as long as a request runs. Where a server has at least a place for each VM, a fixed division
 // needs no messages: every VM computes its share from the same names. Where it has fewer, one
 // VM, the granter, gives them out, and VMs that can't ask it take turns. It decides without any
 // I/O.
-package serverroom
+package serverplaces
 
 import (
 	"time"
--- a/internal/coordination/serverroom/serverroom_test.go
+++ b/internal/coordination/serverplaces/serverplaces_test.go
@@ -1,4 +1,4 @@
-package serverroom
+package serverplaces
 
 import (
 	"fmt"
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -55,7 +55,7 @@
 	if a.head.Backoff == 0 {
 		q.fullServers++
 	}
-	n.rooms.recordRejection(a)
+	n.places.recordRejection(a)
 	n.backends.recordFull(a.placed, q.call.Parts, n.now())
 	n.log.Event("attempt", "not-run", "id", q.call.ID, "server", a.placed.server.id, "status", a.answer.Status)
 	return outcomeNotRun
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -606,7 +606,7 @@
 func (t *backendTable) nextDue(query *serverQuery, now time.Time) (due time.Time, isLimit, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	places := t.roomsOf(query.service, now)
+	places := t.servicePlaces(query.service, now)
 	for _, b := range t.byService[query.service] {
 		until := b.announced.BackoffUntil
 		roomAt, limited := t.roomAt(b, now)
@@ -639,7 +639,7 @@
 // The caller must hold the lock.
 func (t *backendTable) usable(query *serverQuery, now time.Time) []*backend {
 	var available, full, removed, unreachable []*backend
-	places := t.roomsOf(query.service, now)
+	places := t.servicePlaces(query.service, now)
 	for _, b := range t.byService[query.service] {
 		switch {
 		case query.exclude[b.info.ID] || b.info.Leaving || !query.versions.allows(&b.info):
--- a/internal/gateway/brittle_servers_test.go
+++ b/internal/gateway/brittle_servers_test.go
@@ -30,7 +30,7 @@
 
 // TestBrittleServersFallInTurn: servers state that they fail if they have to reject many
 // requests. All nodes together must not fill them. How much of the places is used depends on
-// the machine here; package serverroom tests that in virtual time.
+// the machine here; package serverplaces tests that in virtual time.
 func TestBrittleServersFallInTurn(t *testing.T) {
 	t.Parallel()
 	const work = 200 * time.Millisecond
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -101,7 +101,7 @@
 		return nil, "deadline"
 	}
 	var check *upstream.Request
-	if (!n.backends.heardRecently(p.server, now) || p.server == a.placed.server) && !n.rooms.isBrittle(p.server) {
+	if (!n.backends.heardRecently(p.server, now) || p.server == a.placed.server) && !n.places.isBrittle(p.server) {
 		if !n.checks.acquire(q.service) {
 			n.backends.release(p)
 			return nil, "checks-busy"
@@ -382,7 +382,7 @@
 // checkServer asks the attempt's server on a new connection whether it answers.
 func (a *attempt) checkServer(ctx context.Context) {
 	n := a.q.node
-	if n.links.IsCut(a.q.service) || n.backends.heardRecently(a.placed.server, n.now()) || n.backends.isLimited(a.placed.server) || n.rooms.isBrittle(a.placed.server) || !n.checks.acquire(a.q.service) {
+	if n.links.IsCut(a.q.service) || n.backends.heardRecently(a.placed.server, n.now()) || n.backends.isLimited(a.placed.server) || n.places.isBrittle(a.placed.server) || !n.checks.acquire(a.q.service) {
 		return
 	}
 	defer n.checks.release(a.q.service)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	var check *upstream.Request
-	isSpared := n.backends.isLimited(p.server) || n.rooms.isBrittle(p.server)
+	isSpared := n.backends.isLimited(p.server) || n.places.isBrittle(p.server)
 	if !isSpared {
 		check = n.checkRequest(p)
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -303,7 +303,7 @@
 	d.Moves = n.moves.ownReport()
 	d.Contents = n.quarantiner.table.Outgoing(maxDigestContents)
 	d.Limits = n.limits.table.Outgoing(maxDigestLimits)
-	d.Brittle = n.rooms.table.Outgoing(maxDigestLimits)
+	d.Brittle = n.places.table.Outgoing(maxDigestLimits)
 	if sequence%digestsPerUsage == 0 || d.Draining {
 		m.addUsageAndWork(&d, now)
 	}
@@ -362,13 +362,13 @@
 	n.clock.update(d.VM, d.WallMillis, now)
 	if !wasReachable {
 		n.quarantiner.table.ResendAll()
-		n.rooms.table.ResendAll(now)
+		n.places.table.ResendAll(now)
 	}
 	if len(d.Contents) > 0 {
 		n.quarantiner.merge(d.Contents, d.VM)
 	}
 	n.limits.merge(d.Limits, d.VM, now)
-	n.rooms.merge(d.Brittle, d.VM, now)
+	n.places.merge(d.Brittle, d.VM, now)
 	n.duties.recordHolder(holder.HolderReport, now)
 	n.wakeFollowers(d)
 	if update.Key == "" {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -104,7 +104,7 @@
 	answerMemory     *answerMemory
 	quarantiner      *quarantiner
 	limits           *serverLimits
-	rooms            *serverRooms
+	places           *serverPlaces
 	links            *serverlinks.Table
 	tunnels          *tunnels
 	moves            *versionMoves
@@ -179,7 +179,7 @@
 	n.moves = newVersionMoves(n)
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
 	n.limits = newServerLimits(n)
-	n.rooms = newServerRooms(n)
+	n.places = newServerPlaces(n)
 	n.backends.onHead = func(b *backend, status int, header http.Header, sentAt time.Time) {
 		n.recordStatements(b, sentAt, platform.DecodeAnswer(status, header))
 	}
@@ -357,7 +357,7 @@
 		n.backends.sweep(n.now())
 		n.quarantiner.sweep()
 		n.limits.sweep(n.now())
-		n.rooms.sweep(n.now())
+		n.places.sweep(n.now())
 		for _, f := range []*follower{n.operatorFollower, n.serverFollower} {
 			if c := f.confirmation(); !c.At.IsZero() {
 				n.metrics.confirmationAge.WithLabelValues(f.topic).Set(n.now().Sub(c.At).Seconds())
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -40,26 +40,40 @@
 
 // observe records what an answer tells about the limit of the server that sent it.
 func (l *serverLimits) observe(service, id string, process announcements.Process, head platform.Answer, sentAt, now time.Time) {
-	n := l.node
-	if head.LimitErr != nil {
-		n.log.Failure("servers", "unreadable-limit", "server", process.ServerID, "service", service, "id", id, "error", head.LimitErr)
-		n.metrics.announcements.WithLabelValues(service, "unreadable-limit").Inc()
-		return
+	stated := statedRate{"limit", head.HasLimit, head.Limit, head.LimitErr}
+	if s, changed := l.node.observeRate(l.table, stated, service, id, process, head, sentAt, now); changed {
+		l.logChange(process.ServerID, service, s, id)
 	}
-	// Only an answer of the engine itself shows that it names no limit.
-	if !head.HasLimit && (head.Misdirected || !head.Sealed && !head.NotRun) {
-		return
+}
+
+// statedRate is what an answer states about a rate of its server.
+type statedRate struct {
+	name  string
+	has   bool
+	value float64
+	// err is set if the rate can't be read.
+	err error
+}
+
+// observeRate records in table what an answer states about a rate, and reports whether that is
+// news.
+func (n *Node) observeRate(table *serverlimit.Table, stated statedRate, service, id string, process announcements.Process, head platform.Answer, sentAt, now time.Time) (s serverlimit.Statement, changed bool) {
+	if stated.err != nil {
+		n.log.Failure("servers", "unreadable-"+stated.name, "server", process.ServerID, "service", service, "id", id, "error", stated.err)
+		n.metrics.announcements.WithLabelValues(service, "unreadable-"+stated.name).Inc()
+		return s, false
+	}
+	// Only an answer of the server itself shows that it states none.
+	if !stated.has && (head.Misdirected || !head.Sealed && !head.NotRun) {
+		return s, false
 	}
-	if head.HasLimit {
-		n.metrics.announcements.WithLabelValues(service, "limit").Inc()
+	if stated.has {
+		n.metrics.announcements.WithLabelValues(service, stated.name).Inc()
 	}
-	s, changed := l.table.Observe(serverlimit.Observation{
-		Server: shortHash(process.ServerID), HasLimit: head.HasLimit, Rate: head.Limit,
+	return table.Observe(serverlimit.Observation{
+		Server: shortHash(process.ServerID), HasLimit: stated.has, Rate: stated.value,
 		SentAt: n.clock.unixMillis(sentAt), ArrivedAt: n.clock.unixMillis(now),
 	}, now)
-	if changed {
-		l.logChange(process.ServerID, service, s, id)
-	}
 }
 
 // merge records what a peer has heard of limits.
@@ -101,7 +115,7 @@
 func (l *serverLimits) takePermit(ctx context.Context, p *placedAttempt, parts []platform.Part) bool {
 	n := l.node
 	service := p.server.service
-	if !n.rooms.takePlace(ctx, p) {
+	if !n.places.takePlace(ctx, p) {
 		return false
 	}
 	if _, limited := l.table.Rate(p.server.shortHash, p.info.StartedAtMillis); !limited {
@@ -161,7 +175,7 @@
 // Permit handles a call for a permit.
 func (n *Node) Permit(_ context.Context, in *relayapi.PermitRequest) (*relayapi.PermitReply, error) {
 	if in.Places > 0 || in.Release > 0 {
-		return n.rooms.permit(in), nil
+		return n.places.permit(in), nil
 	}
 	granted, wait := n.limits.granter.Ask(in.Server, in.Rate, n.now())
 	// A wait of less than a millisecond must not become none.
--- a/internal/gateway/server_rooms.go
+++ b/internal/gateway/server_places.go
@@ -7,7 +7,7 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/announcements"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/serverlimit"
-	"coltsfootpath.example/coltsfootpath/internal/coordination/serverroom"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/serverplaces"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
@@ -16,50 +16,35 @@
 	// placeCheckInterval is the time after which a request that waits for a place at a brittle
 	// server looks for one again.
 	placeCheckInterval = 10 * time.Millisecond
-	// maxRoomRejectionTime bounds the time to a rejection for lack of room, which comes at
+	// maxPlaceRejectionTime bounds the time to a rejection for lack of room, which comes at
 	// once. A later one has another reason.
-	maxRoomRejectionTime = 100 * time.Millisecond
+	maxPlaceRejectionTime = 100 * time.Millisecond
 )
 
-// serverRooms keeps what brittle servers have stated: that they fail if they have to reject
+// serverPlaces keeps what brittle servers have stated: that they fail if they have to reject
 // more requests in a second than they name. All nodes together then use no more places than a
 // server has, and let none of their requests wait there.
-type serverRooms struct {
+type serverPlaces struct {
 	node    *Node
 	table   *serverlimit.Table
-	granter *serverroom.Granter
+	granter *serverplaces.Granter
 }
 
-func newServerRooms(n *Node) *serverRooms {
-	return &serverRooms{node: n, table: n.backends.brittle, granter: serverroom.NewGranter()}
+func newServerPlaces(n *Node) *serverPlaces {
+	return &serverPlaces{node: n, table: n.backends.brittle, granter: serverplaces.NewGranter()}
 }
 
 // observe records what an answer tells about the rejections that its server survives.
-func (r *serverRooms) observe(service, id string, process announcements.Process, head platform.Answer, sentAt, now time.Time) {
-	n := r.node
-	if head.BrittleErr != nil {
-		n.log.Failure("servers", "unreadable-brittle", "server", process.ServerID, "service", service, "id", id, "error", head.BrittleErr)
-		n.metrics.announcements.WithLabelValues(service, "unreadable-brittle").Inc()
-		return
-	}
-	if !head.IsBrittle && (head.Misdirected || !head.Sealed && !head.NotRun) {
-		return
-	}
-	if head.IsBrittle {
-		n.metrics.announcements.WithLabelValues(service, "brittle").Inc()
-	}
-	s, changed := r.table.Observe(serverlimit.Observation{
-		Server: shortHash(process.ServerID), HasLimit: head.IsBrittle, Rate: head.Rejections,
-		SentAt: n.clock.unixMillis(sentAt), ArrivedAt: n.clock.unixMillis(now),
-	}, now)
-	if changed {
+func (r *serverPlaces) observe(service, id string, process announcements.Process, head platform.Answer, sentAt, now time.Time) {
+	stated := statedRate{"brittle", head.IsBrittle, head.Rejections, head.BrittleErr}
+	if s, changed := r.node.observeRate(r.table, stated, service, id, process, head, sentAt, now); changed {
 		r.logChange(process.ServerID, service, s, id)
-		n.members.sendEarly()
+		r.node.members.sendEarly()
 	}
 }
 
 // merge records what a peer has heard.
-func (r *serverRooms) merge(statements []serverlimit.Statement, vm string, now time.Time) {
+func (r *serverPlaces) merge(statements []serverlimit.Statement, vm string, now time.Time) {
 	for _, s := range statements {
 		if id, service, ok := r.node.backends.byShortHash(s.Server); r.table.Merge(s, now) && ok {
 			r.logChange(id, service, s, vm)
@@ -67,7 +52,7 @@
 	}
 }
 
-func (r *serverRooms) logChange(server, service string, s serverlimit.Statement, source string) {
+func (r *serverPlaces) logChange(server, service string, s serverlimit.Statement, source string) {
 	if s.Ended {
 		r.node.log.Event("servers", "brittle-ended", "server", server, "service", service, "source", source)
 		return
@@ -77,16 +62,16 @@
 
 // recordRejection records that a brittle server has rejected an attempt for lack of room: it
 // has no more places than requests were running.
-func (r *serverRooms) recordRejection(a *attempt) {
+func (r *serverPlaces) recordRejection(a *attempt) {
 	n, now, b := r.node, r.node.now(), a.placed.server
-	if !a.placed.hasPlace || a.head.Misdirected || now.Sub(a.startedAt) > maxRoomRejectionTime {
+	if !a.placed.hasPlace || a.head.Misdirected || now.Sub(a.startedAt) > maxPlaceRejectionTime {
 		return
 	}
 	known, running, isBrittle := n.backends.placesAndLoad(b, now)
 	if !isBrittle {
 		return
 	}
-	places := serverroom.AfterRejection(known, running-1)
+	places := serverplaces.AfterRejection(known, running-1)
 	if r.table.LimitPlaces(b.shortHash, places, now) {
 		n.log.Failure("servers", "brittle-rejected", "server", b.id, "service", b.service, "id", a.q.call.ID, "places", places, "before", known)
 		n.members.sendEarly()
@@ -94,15 +79,15 @@
 }
 
 // isBrittle reports whether a server is brittle.
-func (r *serverRooms) isBrittle(b *backend) bool {
+func (r *serverPlaces) isBrittle(b *backend) bool {
 	t := r.node.backends
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.roomsOf(b.service, r.node.now()).isBrittle(b)
+	return t.servicePlaces(b.service, r.node.now()).isBrittle(b)
 }
 
 // sweep updates the metrics and forgets servers that are gone.
-func (r *serverRooms) sweep(now time.Time) {
+func (r *serverPlaces) sweep(now time.Time) {
 	n := r.node
 	r.granter.Sweep(now)
 	r.table.Retain(func(server uint32) bool {
@@ -117,22 +102,22 @@
 	}
 }
 
-// rooms is a view of the places of a service's brittle servers. It is nil if there are none,
+// servicePlaces is a view of the places of a service's brittle servers. It is nil if there are none,
 // and valid while the table's lock is held.
-type rooms struct {
+type servicePlaces struct {
 	table  *backendTable
 	totals map[uint32]placement.Load
 	now    time.Time
 }
 
-// roomsOf returns the rooms of a service. The caller must hold the lock.
-func (t *backendTable) roomsOf(service string, now time.Time) *rooms {
+// servicePlaces returns the places of a service's servers. The caller must hold the lock.
+func (t *backendTable) servicePlaces(service string, now time.Time) *servicePlaces {
 	if t.brittle.IsEmpty() {
 		return nil
 	}
 	for _, b := range t.byService[service] {
 		if s, ok := t.brittle.Statement(b.shortHash); ok && !s.Ended {
-			return &rooms{table: t, totals: t.peerTotals(now), now: now}
+			return &servicePlaces{table: t, totals: t.peerTotals(now), now: now}
 		}
 	}
 	return nil
@@ -141,45 +126,45 @@
 // isBrittle reports whether a server of the service is brittle: it has stated so, or nothing
 // is known of it yet while others have. A statement outlasts the server's process, as one that
 // has failed starts again under the same conditions.
-func (r *rooms) isBrittle(b *backend) bool {
-	if r == nil {
+func (p *servicePlaces) isBrittle(b *backend) bool {
+	if p == nil {
 		return false
 	}
-	s, ok := r.table.brittle.Statement(b.shortHash)
+	s, ok := p.table.brittle.Statement(b.shortHash)
 	return !ok || !s.Ended
 }
 
-// places returns the number of places of a server.
-func (r *rooms) places(b *backend) int {
+// count returns the number of places of a server.
+func (p *servicePlaces) count(b *backend) int {
 	places := max(b.info.Slots, 1)
-	if s, ok := r.table.brittle.Statement(b.shortHash); ok && s.Places > 0 {
+	if s, ok := p.table.brittle.Statement(b.shortHash); ok && s.Places > 0 {
 		places = min(places, s.Places)
 	}
 	return places
 }
 
 // hasPlace reports whether this node may use another place of a server.
-func (r *rooms) hasPlace(b *backend) bool {
-	if !r.isBrittle(b) {
+func (p *servicePlaces) hasPlace(b *backend) bool {
+	if !p.isBrittle(b) {
 		return true
 	}
-	places, own := r.places(b), int(b.ownLoad.Running)
-	if !r.isDivided(b) {
-		return own < places && !r.now.Before(b.noPlaceUntil)
+	places, own := p.count(b), int(b.ownLoad.Running)
+	if !p.isDivided(b) {
+		return own < places && !p.now.Before(b.noPlaceUntil)
 	}
-	return own+int(r.totals[b.shortHash].Running) < places && own < r.share(b)
+	return own+int(p.totals[b.shortHash].Running) < places && own < p.share(b)
 }
 
 // isDivided reports whether every VM has a share of a server's places.
-func (r *rooms) isDivided(b *backend) bool { return r.places(b) > len(r.table.servingVMs) }
+func (p *servicePlaces) isDivided(b *backend) bool { return p.count(b) > len(p.table.servingVMs) }
 
 // share returns this node's share of a server's places.
-func (r *rooms) share(b *backend) int {
-	return serverroom.Share(r.places(b), b.hash, r.table.self, r.table.servingVMs, r.table.unixMillis(r.now))
+func (p *servicePlaces) share(b *backend) int {
+	return serverplaces.Share(p.count(b), b.hash, p.table.self, p.table.servingVMs, p.table.unixMillis(p.now))
 }
 
 // takePlace takes a place for an attempt on a brittle server, and reports whether there is one.
-func (r *serverRooms) takePlace(ctx context.Context, p *placedAttempt) bool {
+func (r *serverPlaces) takePlace(ctx context.Context, p *placedAttempt) bool {
 	n, b, now := r.node, p.server, r.node.now()
 	places, isShared, hasTurn := n.backends.placeFor(b, now)
 	if places == 0 {
@@ -215,7 +200,7 @@
 
 // release tells the granter that a place is free again. If that fails, it is free once the time
 // has passed for which it was asked for.
-func (r *serverRooms) release(b *backend, lease uint64) {
+func (r *serverPlaces) release(b *backend, lease uint64) {
 	n := r.node
 	if _, err := n.limits.ask(n.ctx, &relayapi.PermitRequest{Server: b.shortHash, Release: lease}); err != nil {
 		n.log.Failure("servers", "place-not-released", "server", b.id, "service", b.service, "granter", n.members.granter(), "error", err)
@@ -223,7 +208,7 @@
 }
 
 // permit handles a call for a place, or the release of one.
-func (r *serverRooms) permit(in *relayapi.PermitRequest) *relayapi.PermitReply {
+func (r *serverPlaces) permit(in *relayapi.PermitRequest) *relayapi.PermitReply {
 	if in.Release > 0 {
 		r.granter.Release(in.Server, in.Release)
 		return &relayapi.PermitReply{Granted: true}
@@ -239,11 +224,11 @@
 func (t *backendTable) placeFor(b *backend, now time.Time) (places int, isShared, hasTurn bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.roomsOf(b.service, now)
-	if !r.isBrittle(b) {
+	p := t.servicePlaces(b.service, now)
+	if !p.isBrittle(b) {
 		return 0, false, false
 	}
-	return r.places(b), r.isDivided(b), int(b.ownLoad.Running) <= r.share(b)
+	return p.count(b), p.isDivided(b), int(b.ownLoad.Running) <= p.share(b)
 }
 
 // recordNoPlace records that no place at a server is to be asked for until a time.
@@ -272,11 +257,11 @@
 func (t *backendTable) placesAndLoad(b *backend, now time.Time) (places, running int, isBrittle bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.roomsOf(b.service, now)
-	if !r.isBrittle(b) {
+	p := t.servicePlaces(b.service, now)
+	if !p.isBrittle(b) {
 		return 0, 0, false
 	}
-	return r.places(b), int(b.ownLoad.Running + r.totals[b.shortHash].Running), true
+	return p.count(b), int(b.ownLoad.Running + p.totals[b.shortHash].Running), true
 }
 
 // placesOf returns the places of a server, 0 if it is not known.
@@ -287,7 +272,7 @@
 	if b == nil {
 		return 0
 	}
-	return (&rooms{table: t}).places(b)
+	return (&servicePlaces{table: t}).count(b)
 }
 
 // setServingVMs replaces the names of the other VMs that serve requests.
