gateway: setting vm.source_address for connections to backend servers

A VM with several addresses can choose the one from which it connects to servers, and a server, or a proxy before it, can tell its VMs apart. The fault soak needs that to cut the links of one VM.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -128,8 +128,10 @@
 	members    func() int
 	// onHead is called with the head of each answer of a server.
 	onHead func(b *backend, status int, header http.Header, sentAt time.Time)
-	// dial opens connections to servers, see upstream.Config.Dial.
-	dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
+	// sourceAddress is the local address of connections to servers, and dial opens them, see
+	// upstream.Config.
+	sourceAddress net.IP
+	dial          func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
 	// serviceConfig returns the document's entry for a service, or nil if there is
 	// none.
 	serviceConfig func(name string) *deployment.Service
@@ -199,6 +201,7 @@
 	b.pool = upstream.NewPool(s.Address, upstream.Config{
 		DialTimeout:        dialTimeout,
 		DefaultIdleTimeout: defaultIdleTimeout,
+		SourceAddress:      t.sourceAddress,
 		Dial:               t.dial,
 		MaxConnections: func() int {
 			return max(int(connectionShare*float64(t.maxConnections(service)))/t.members(), minConnections)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -164,6 +164,7 @@
 		n.metrics.healthVerdicts.WithLabelValues(k.Model, phase).Inc()
 	})
 	n.backends = newBackendTable(n.health)
+	n.backends.sourceAddress = settings.SourceAddress
 	n.quota = quota.New(quotaExtraShare * settings.QuotaSlack)
 	n.usage = usage.NewTable(usage.Source{VM: settings.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/internal/settings"
@@ -32,6 +33,10 @@
 	// FirstStart is true if all VMs of the deployment start for the first time.
 	FirstStart bool
 
+	// SourceAddress is the local address of connections to backend servers. Empty means
+	// that the system chooses it.
+	SourceAddress net.IP
+
 	MemoryMB float64
 	LinkMbps float64
 	Grace    time.Duration
@@ -64,6 +69,7 @@
 	{"vm.name", false, func(a, b *Settings) bool { return a.VM == b.VM && a.AvailabilityZone == b.AvailabilityZone }},
 	// The platform sets it back once the deployment has started.
 	{"vm.first_start", true, func(a, b *Settings) bool { return a.FirstStart == b.FirstStart }},
+	{"vm.source_address", false, func(a, b *Settings) bool { return a.SourceAddress.Equal(b.SourceAddress) }},
 	{"vm.memory_mb", true, func(a, b *Settings) bool { return a.MemoryMB == b.MemoryMB }},
 	{"vm.link_mbps", false, func(a, b *Settings) bool { return a.LinkMbps == b.LinkMbps }},
 	{"vm.grace", true, func(a, b *Settings) bool { return a.Grace == b.Grace }},
@@ -104,6 +110,7 @@
 	schema.RequiredName("vm", "name", &s.VM, "name of this VM")
 	schema.RequiredName("vm", "availability_zone", &s.AvailabilityZone, "availability zone of this VM")
 	schema.Bool("vm", "first_start", &s.FirstStart, false, "whether all VMs of the deployment start for the first time")
+	schema.OptionalIP("vm", "source_address", &s.SourceAddress, "local address of connections to backend servers; the system chooses it if empty")
 	schema.Float("vm", "memory_mb", &s.MemoryMB, 256, 64, 1<<20, "MB", "memory that the process may use")
 	schema.Float("vm", "link_mbps", &s.LinkMbps, 1000, 0, 1e6, "Mbit/s", "bandwidth of the VM's link")
 	schema.Duration("vm", "grace", &s.Grace, 8*time.Second, time.Second, time.Hour, "time from SIGTERM to the kill")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -127,6 +127,18 @@
 	}})
 }
 
+// OptionalIP adds an optional IP address.
+func (s *Schema) OptionalIP(section, key string, target *net.IP, help string) {
+	s.add(Field{Section: section, Key: key, Bounds: "ip", Help: help, set: func(v string) error {
+		ip := net.ParseIP(v)
+		if v != "" && ip == nil {
+			return fmt.Errorf("%q is not an IP address", v)
+		}
+		*target = ip
+		return nil
+	}})
+}
+
 func setAddress(v string, target *string) error {
 	host, port, err := net.SplitHostPort(v)
 	if err != nil {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -64,6 +64,8 @@
 	// HeadWait is the time for which the head of an answer is still awaited once its request
 	// has been cancelled. The connection is closed for sending meanwhile.
 	HeadWait time.Duration
+	// SourceAddress is the local address of connections. It may be nil.
+	SourceAddress net.IP
 	// Dial opens connections in place of the dialer, which has the timeouts and options
 	// for the connection. It may be nil.
 	Dial func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error)
@@ -625,6 +627,9 @@
 			return errors.CombineErrors(err, optErr)
 		},
 	}
+	if p.cfg.SourceAddress != nil {
+		d.LocalAddr = &net.TCPAddr{IP: p.cfg.SourceAddress}
+	}
 	open := p.cfg.Dial
 	if open == nil {
 		open = func(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -306,3 +306,27 @@
 		}
 	}
 }
+
+// TestSourceAddressIsIgnored: the server sees the local address that was set.
+func TestSourceAddressIsIgnored(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	pool := NewPool(listener.Addr().String(), Config{DialTimeout: time.Second, MaxConnections: func() int { return 1 }, SourceAddress: net.ParseIP("127.0.0.9")})
+	defer pool.Close()
+	opened, err := pool.dial(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer opened.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if host, _, err := net.SplitHostPort(accepted.RemoteAddr().String()); err != nil || host != "127.0.0.9" {
+		t.Errorf("connection comes from %v, %v", accepted.RemoteAddr(), err)
+	}
+}
