gateway: cut links that reset connections no longer count against contents

Cause: where cut links reset open connections, and new ones once they are open, the check after a lost answer passed for a listening server, so that each loss counted as an interruption against the request's content. Six of them at several servers, within 0.2 s at one VM and before its verdict, quarantined it. The check after refused connections did ask a peer.

Change: a connection that is closed at once is no sign of a listening server; a peer decides, as after a refused one, and the failure counts against the links. Losses whose servers are checked while links are suspected wait for the verdict. A line in the log says that links are suspected.

--- a/internal/coordination/serverlinks/serverlinks.go
+++ b/internal/coordination/serverlinks/serverlinks.go
@@ -135,6 +135,14 @@
 	return true
 }
 
+// IsSuspected reports whether the links to a service's servers are being checked.
+func (t *Table) IsSuspected(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	return s != nil && s.isChecking
+}
+
 // IsCut reports whether the links to a service's servers are cut.
 func (t *Table) IsCut(name string) bool {
 	t.mu.Lock()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -16,6 +16,8 @@
 	// linkProbeInterval is the time between two probes of a service's servers while the
 	// links to them are cut.
 	linkProbeInterval = 300 * time.Millisecond
+	// linkCheckPoll is the interval at which the end of a check is awaited.
+	linkCheckPoll = 10 * time.Millisecond
 	// probesAtOnce is the number of servers that are probed at the same time.
 	probesAtOnce = 2
 	// peerChecks is the number of servers that peers are asked to connect to when links are
@@ -45,6 +47,7 @@
 func (n *Node) recordLinkFailure(b *backend, startedAt time.Time) {
 	servers := len(n.backends.servers(b.service))
 	if n.links.Failed(b.service, b.id, servers, startedAt, n.now()) {
+		n.log.Event("links", "suspected", "service", b.service, "server", b.id)
 		if n.moves.losses.doubt(b.service, n.now()) {
 			n.members.sendEarly()
 		}
@@ -95,6 +98,13 @@
 	n.probeLinks(n.ctx, service, now)
 }
 
+// awaitLinkCheck waits while the links to a service's servers are suspected.
+func (n *Node) awaitLinkCheck(service string) {
+	for n.ctx.Err() == nil && n.links.IsSuspected(service) {
+		sleep(n.ctx, linkCheckPoll)
+	}
+}
+
 // draw returns some of the attempts at random.
 func draw(attempts []*placedAttempt, count int) []*placedAttempt {
 	rand.Shuffle(len(attempts), func(i, j int) { attempts[i], attempts[j] = attempts[j], attempts[i] })
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quarantine"
+	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
 )
 
 const (
@@ -110,6 +111,11 @@
 	state := serverLeaving
 	if !n.backends.isLeaving(b) {
 		state = n.checkServer(b)
+		wasCut := n.links.IsCut(b.service)
+		n.awaitLinkCheck(b.service)
+		if !wasCut && n.links.IsCut(b.service) {
+			state = n.checkServer(b)
+		}
 	}
 	// An announcement or a restart may have been read during the check.
 	switch {
@@ -136,17 +142,17 @@
 	}
 }
 
-// checkServer determines the state of a server. A refused connection may be due to this VM's
-// links, so that a peer decides whether the server has ended.
+// checkServer determines the state of a server. A connection that is refused, or closed at
+// once, may be due to this VM's links, so that a peer decides whether the server has ended.
 func (n *Node) checkServer(b *backend) serverState {
 	startedAt := n.now()
 	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
 	defer cancel()
-	err := b.pool.CheckListening(ctx)
+	err := b.pool.CheckListening(ctx, settleTime)
 	if err == nil && !n.links.IsCut(b.service) {
 		return serverListening
 	}
-	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) && !n.links.IsCut(b.service) {
+	if err != nil && !errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET, upstream.ErrClosedAtOnce) && !n.links.IsCut(b.service) {
 		n.recordLinkFailure(b, startedAt)
 		return serverUnknown
 	}
@@ -157,10 +163,13 @@
 	case err != nil:
 		n.recordLinkFailure(b, startedAt)
 	}
-	if ok || n.links.IsCut(b.service) {
+	switch {
+	case ok || n.links.IsCut(b.service):
 		return serverNotChecked
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return serverEnded
 	}
-	return serverEnded
+	return serverUnknown
 }
 
 // checkServerThroughPeer determines the state of a server as seen from a peer, and false if
--- a/internal/gateway/lost_links_test.go
+++ b/internal/gateway/lost_links_test.go
@@ -23,6 +23,8 @@
 	linksRefuse
 	// linksResetNew lets open connections live on, and resets new ones once they are open.
 	linksResetNew
+	// linksResetAll resets open connections, and new ones once they are open.
+	linksResetAll
 )
 
 // links are the links of one VM to the backend servers.
@@ -43,7 +45,7 @@
 	close(l.change)
 	l.change = make(chan struct{})
 	for c := range l.conns {
-		if form == linksRefuse {
+		if form == linksRefuse || form == linksResetAll {
 			c.fail(syscall.ECONNRESET)
 		}
 	}
@@ -72,7 +74,7 @@
 		return nil, err
 	}
 	c := &linkConn{Conn: raw, links: l, failed: make(chan struct{})}
-	if form == linksResetNew {
+	if form == linksResetNew || form == linksResetAll {
 		c.fail(syscall.ECONNRESET)
 	}
 	l.mu.Lock()
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -80,32 +80,37 @@
 // evidence against the contents of their requests, nor against the servers.
 func TestCutLinksCountAsCrashesOfServers(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t)
-	for i := range 4 {
-		f.addServer(fmt.Sprint("s-", i), always(platformtest.Behavior{EventPause: 300 * time.Millisecond}))
-	}
-	nodes, cuts := startLinkedNodes(f, 3, 4)
-	var open sync.WaitGroup
-	for i := range 24 {
-		open.Go(func() {
-			do(t, nodes[0], call{method: "POST", path: []string{"/once/x", "/fixedstream/x"}[i%2], key: "key-w", id: fmt.Sprint("open-", i), body: fmt.Sprint("body ", i)})
+	for name, form := range map[string]cutForm{"refuse": linksRefuse, "reset-all": linksResetAll} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			for i := range 4 {
+				f.addServer(fmt.Sprint("s-", i), always(platformtest.Behavior{EventPause: 300 * time.Millisecond}))
+			}
+			nodes, cuts := startLinkedNodes(f, 3, 4)
+			var open sync.WaitGroup
+			for i := range 24 {
+				open.Go(func() {
+					do(t, nodes[0], call{method: "POST", path: []string{"/once/x", "/fixedstream/x"}[i%2], key: "key-w", id: fmt.Sprint("open-", i), body: fmt.Sprint("body ", i)})
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			cuts[0].set(form)
+			open.Wait()
+			f.eventually("the cut is noticed", func() bool { return nodes[0].links.IsCut("s") })
+			time.Sleep(serverCheckDelay + serverCheckTimeout)
+			for _, state := range []string{"ended", "listening", "unknown"} {
+				if f.logs.hasLine("content lost", "server-state="+state) {
+					t.Errorf("a loss was counted as %s", state)
+				}
+			}
+			for _, p := range nodes[0].backends.probeCandidates("s", time.Now()) {
+				if w := nodes[0].health.Weight(healthKey(&p.info), time.Now()); w != 1 {
+					t.Errorf("server %s has the weight %v", p.server.id, w)
+				}
+			}
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
-	cuts[0].set(linksRefuse)
-	open.Wait()
-	f.eventually("the cut is noticed", func() bool { return nodes[0].links.IsCut("s") })
-	time.Sleep(2 * serverCheckDelay)
-	for _, state := range []string{"ended", "listening"} {
-		if f.logs.hasLine("content lost", "server-state="+state) {
-			t.Errorf("a loss was counted as %s", state)
-		}
-	}
-	for _, p := range nodes[0].backends.probeCandidates("s", time.Now()) {
-		if w := nodes[0].health.Weight(healthKey(&p.info), time.Now()); w != 1 {
-			t.Errorf("server %s has the weight %v", p.server.id, w)
-		}
-	}
 }
 
 // TestFullPeerTakesTunnels: a peer rejects tunnels beyond its bound, and the request is
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -671,15 +671,28 @@
 	}
 }
 
-// CheckListening opens a connection to the server and closes it again.
-func (p *Pool) CheckListening(ctx context.Context) error {
+// CheckListening opens a connection to the server and closes it again after the time settle. It
+// returns ErrClosedAtOnce if the other end has closed or reset it by then.
+func (p *Pool) CheckListening(ctx context.Context, settle time.Duration) error {
 	c, err := p.dial(ctx)
 	if err != nil {
 		return err
 	}
-	return c.Close()
+	defer c.Close()
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait after connect")
+	case <-time.After(settle):
+	}
+	if !isReusable(c.Conn) {
+		return ErrClosedAtOnce
+	}
+	return nil
 }
 
+// ErrClosedAtOnce means that the other end closed a connection before any request.
+var ErrClosedAtOnce = errors.New("connection closed by the other end once it was open")
+
 // release makes c idle, or closes it if the pool is closed.
 func (p *Pool) release(c *conn) {
 	if c.adopted {
