gateway: crashes through tunnels count against contents, and leave the peers in use

A VM without links that has a request content which ends each server: after the first request all other requests there were rejected with no-server for 1.2 s, and the content was never quarantined, so that it went on ending servers for as long as the links were cut.

Cause: a connection that was reset before any answer was always taken for a sign that the peer's own link was cut. Two crashes put both peers of three VMs aside; then the VM could neither serve nor ask anybody whether the server had ended, and did not count the loss.

Change: the peer connects to the server again. If that is refused, the server has ended, and if it stays open, only this connection was reset: both count as on own links. Otherwise the peer's link is suspected, and the end of the tunnel says so.

--- a/internal/gateway/tunnel_server.go
+++ b/internal/gateway/tunnel_server.go
@@ -129,8 +129,9 @@
 		case err == io.EOF:
 			return tunnel.SendEnd(relayapi.EndClosed)
 		case errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE):
-			if !hasAnswered {
+			if !hasAnswered && n.isLinkSuspect(server) {
 				n.recordLinkFailure(server, startedAt)
+				return tunnel.SendEnd(relayapi.EndUnlinked)
 			}
 			return tunnel.SendEnd(relayapi.EndReset)
 		case errors.Is(err, net.ErrClosed):
@@ -179,3 +180,16 @@
 		o.done, o.buffer = true, nil
 	}
 }
+
+// isLinkSuspect reports whether this VM's link to a server that has reset a connection may be cut:
+// the server neither refuses connections, as it does once it has ended, nor keeps one open.
+func (n *Node) isLinkSuspect(b *backend) bool {
+	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
+	defer cancel()
+	err := b.pool.CheckListening(ctx, settleTime)
+	if errors.Is(err, upstream.ErrClosedAtOnce) {
+		// A process that ends may close its connections before its listener.
+		err = b.pool.CheckListening(ctx, settleTime)
+	}
+	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -197,13 +197,12 @@
 }
 
 // receive passes on what arrives until the tunnel ends. It reports whether the peer's own link
-// may be cut: the connection was reset before any byte arrived.
+// may be cut.
 func (c *tunnelConn) receive(tunnel *relayapi.Tunnel, remote net.Conn) (isPeerSuspect bool) {
 	defer remote.Close()
-	for hasAnswered := false; ; {
+	for {
 		data, end, err := tunnel.Receive()
 		if err == nil && end == "" {
-			hasAnswered = true
 			if _, err = remote.Write(data); err == nil {
 				continue
 			}
@@ -213,13 +212,15 @@
 		case err != nil:
 		case end == relayapi.EndClosed:
 			failure = io.EOF
+		case end == relayapi.EndUnlinked:
+			failure = errors.Mark(errors.New("reset at the other end of the tunnel, whose link may be cut"), errTunnelLost)
 		case end == relayapi.EndReset:
 			failure = errors.Wrap(syscall.ECONNRESET, "at the other end of the tunnel")
 		default:
 			failure = errors.Newf("connection at the other end of the tunnel %s", end)
 		}
 		c.end.Store(&failure)
-		return end == relayapi.EndReset && !hasAnswered
+		return end == relayapi.EndUnlinked
 	}
 }
 
--- a/internal/protocol/relayapi/tunnel.go
+++ b/internal/protocol/relayapi/tunnel.go
@@ -52,6 +52,9 @@
 	EndClosed ConnectionEnd = "closed"
 	// EndReset means that it was reset.
 	EndReset ConnectionEnd = "reset"
+	// EndUnlinked means that it was reset before any answer, and that the peer's link to the
+	// server may be cut.
+	EndUnlinked ConnectionEnd = "unlinked"
 	// EndFailed means any other error.
 	EndFailed ConnectionEnd = "failed"
 )
