gateway: tests of what a request through a tunnel keeps

Quota and usage counted once by the VM that has the request, the same head and body at the server, the deadline, and limits of servers while the granter of permits and another VM have no links.

--- a/internal/gateway/tunnel_promises_test.go
+++ b/internal/gateway/tunnel_promises_test.go
@@ -2,12 +2,87 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/platform/platformtest"
 )
 
+// TestTunneledRequestIsCountedTwice: the quota is charged, and the usage counted, once, by the VM
+// that has the request.
+func TestTunneledRequestIsCountedTwice(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	s := f.addServer("s-1", nil)
+	cut, linked := startCutNode(f, 1)
+	served := 0
+	for i := range 12 {
+		if do(t, cut, call{method: "POST", path: "/once/x", key: "key-w", id: fmt.Sprint("w-", i), body: "b"}).status == http.StatusOK {
+			served++
+		}
+	}
+	rejected := 0
+	for i := range 6 {
+		if do(t, cut, call{method: "GET", path: "/again/x", key: "key-small", id: fmt.Sprint("small-", i)}).status == http.StatusTooManyRequests {
+			rejected++
+		}
+	}
+	// A node alone rejects at least 3 of 6, see TestQuotaRejectionHasRetryAfter.
+	if served != 12 || rejected < 3 {
+		t.Errorf("%d of 12 served, %d of 6 rejected by the quota", served, rejected)
+	}
+	if own := linked.usage.OwnCounts(0); len(own) > 0 {
+		t.Errorf("the VM that serves tunnels has counted %v", own)
+	}
+	counted := 0
+	for _, counts := range cut.usage.OwnCounts(0) {
+		counted += counts["w"]
+	}
+	if before := len(s.Runs()) - (6 - rejected); counted != before {
+		t.Errorf("%d requests of the workspace are counted, %d have run", counted, before)
+	}
+}
+
+// TestTunnelChangesWhatServersGet: a server gets the same request through a tunnel.
+func TestTunnelChangesWhatServersGet(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	s := f.addServer("s-1", nil)
+	cut, linked := startCutNode(f, 1)
+	for _, n := range []*Node{linked, cut} {
+		do(t, n, call{method: "POST", path: "/once/x?q=1", key: "key-w", id: "compared", body: "b", header: map[string]string{"Coltsfootpath-Deadline-Ms": "1500", "X-Own": "kept"}})
+	}
+	runs := s.Runs()
+	direct, tunneled := runs[len(runs)-2], runs[len(runs)-1]
+	if direct.Target != tunneled.Target || direct.Body != tunneled.Body || direct.Method != tunneled.Method || len(direct.Header) != len(tunneled.Header) {
+		t.Errorf("%+v and %+v", direct, tunneled)
+	}
+	for name, values := range direct.Header {
+		if got := tunneled.Header[name]; len(got) != len(values) || name != "Coltsfootpath-Timeout-Ms" && fmt.Sprint(got) != fmt.Sprint(values) {
+			t.Errorf("%s: %q directly, %q through a tunnel", name, values, got)
+		}
+	}
+}
+
+// TestTunneledRequestLosesItsDeadline: the deadline ends a request whose server does not answer.
+func TestTunneledRequestLosesItsDeadline(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.addServer("s-1", func(_ int, r platformtest.Run) platformtest.Behavior {
+		if r.Body == "silent" {
+			return platformtest.NoAnswer
+		}
+		return platformtest.CompleteAnswer
+	})
+	cut, linked := startCutNode(f, 1)
+	got := do(t, cut, call{method: "POST", path: "/once/x", key: "key-w", id: "late", body: "silent", header: map[string]string{"Coltsfootpath-Deadline-Ms": "300"}})
+	if got.status != http.StatusGatewayTimeout {
+		t.Errorf("got %+v", got)
+	}
+	f.eventually("the tunnel has ended", func() bool { return linked.tunnels.served.Load() == 0 })
+}
+
 // TestCrashesThroughTunnelsDoNotCount: a content that ends each server is quarantined at all VMs,
 // also if a VM without links has all of its requests.
 func TestCrashesThroughTunnelsDoNotCount(t *testing.T) {
@@ -36,3 +111,50 @@
 		return true
 	})
 }
+
+// TestLimitedServerGetsMoreThroughTunnels: the limits of servers hold for requests through
+// tunnels, also if the granter of permits has no links.
+func TestLimitedServerGetsMoreThroughTunnels(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	var servers []*platformtest.Server
+	for i := range 3 {
+		servers = append(servers, f.addServer(fmt.Sprint("s-", i), nil))
+	}
+	nodes, cuts := startLinkedNodes(f, 4, 3)
+	holder := -1
+	f.eventually("a node holds the lease", func() bool {
+		for i, n := range nodes {
+			if _, _, holds := n.duties.leaseState(n.now()); holds {
+				holder = i
+			}
+		}
+		return holder >= 0
+	})
+	var stops []func() []reply
+	for _, n := range nodes {
+		stops = append(stops, steadyCalls(t, n, "/again/x", 60*time.Millisecond))
+	}
+	cuts[holder].set(linksRefuse)
+	cuts[(holder+1)%len(cuts)].set(linksResetAll)
+	time.Sleep(500 * time.Millisecond)
+	const limit = 2
+	for _, s := range servers[:2] {
+		s.NameLimit(fmt.Sprint(limit))
+	}
+	from := time.Now().Add(limitContactTime)
+	time.Sleep(limitContactTime + limitWindow + time.Second)
+	for _, stop := range stops {
+		stop()
+	}
+	for _, i := range []int{holder, (holder + 1) % len(cuts)} {
+		if !nodes[i].usesTunnels("s") {
+			t.Errorf("node %d has not noticed the cut", i)
+		}
+	}
+	for i, s := range servers[:2] {
+		if most, allowed := mostInWindow(s, from), allowedInWindow(limit); most > allowed {
+			t.Errorf("server %d got %d requests in %v, allowed %d", i, most, limitWindow, allowed)
+		}
+	}
+}
