gateway: brittle engines are not filled beyond their memory

A request that finds a place but no memory at an engine, or takes it from another one, makes one of them wait there, and brittle engines let few wait: the next is rejected, which counts towards the engine's failure. Places alone did not bound that.

Change: at a brittle engine of a service with stated memory, a request needs memory for its prompt and its expected answer beside the requests that are known to run; a VM uses its share at most, or has one request there.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -109,11 +109,11 @@
 	// typicalAnswerTokens is the assumed length of each answer that has to end
 	// before a waiting request gets a slot.
 	typicalAnswerTokens = 250
-	// maxMemoryShare is the share of an engine's memory that may be planned for
+	// MaxMemoryShare is the share of an engine's memory that may be planned for
 	// before prompts are assumed to evict each other.
-	maxMemoryShare = 0.85
+	MaxMemoryShare = 0.85
 	// memoryOverflowCostMillis is added to the score in proportion to the excess
-	// over maxMemoryShare: 2000 ms for an excess as large as the planned memory.
+	// over MaxMemoryShare: 2000 ms for an excess as large as the planned memory.
 	memoryOverflowCostMillis = 2000.0
 	// maxJitterMillis bounds the random part of a score. It keeps nodes that see
 	// the same load from all choosing the same server.
@@ -218,7 +218,7 @@
 	wait := c.Load.PrefillTokens/cost.PrefillTokensPerMilli + 2*step + cost.slotWait(c)
 	firstToken := (wait + uncachedTokens/cost.PrefillTokensPerMilli) * max(c.Slowdown, 1)
 	score := firstToken + recomputeWeight*uncachedTokens/cost.PrefillTokensPerMilli + float64(min(req.AnswerTokens, 400))*0.1*step*max(c.Slowdown, 1)
-	if memoryLimit := maxMemoryShare * float64(c.MemoryTokens); memoryLimit > 0 {
+	if memoryLimit := MaxMemoryShare * float64(c.MemoryTokens); memoryLimit > 0 {
 		if excess := c.Load.MemoryTokens + float64(req.PromptTokens+req.AnswerTokens) - memoryLimit; excess > 0 {
 			score += memoryOverflowCostMillis * excess / memoryLimit
 		}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -613,7 +613,7 @@
 	for _, b := range t.byService[query.service] {
 		until := b.announced.BackoffUntil
 		roomAt, limited := t.roomAt(b, now)
-		if !places.hasPlace(b) {
+		if !places.hasPlace(b, &query.request) {
 			roomAt, limited = later(roomAt, now.Add(placeCheckInterval)), true
 		}
 		limited = limited && !roomAt.Before(until)
@@ -647,7 +647,7 @@
 		switch {
 		case query.exclude[b.info.ID] || b.info.Leaving || !query.versions.allows(&b.info):
 		case !b.announced.MaySend(now) || !t.mayHaveRoom(b, query, now):
-		case places.isBrittle(b) && (query.skipLimited || !places.hasPlace(b) || query.isReplacement && !places.isDivided(b)):
+		case places.isBrittle(b) && (query.skipLimited || !places.hasPlace(b, &query.request) || query.isReplacement && !places.isDivided(b)):
 		case !b.removedAt.IsZero():
 			if now.Sub(b.removedAt) < maxUseAfterRemoval {
 				removed = append(removed, b)
--- a/internal/gateway/backends_test.go
+++ b/internal/gateway/backends_test.go
@@ -7,6 +7,7 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/serverlimit"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 )
 
@@ -80,6 +81,44 @@
 	}
 }
 
+// TestBrittleEngineIsFilledBeyondItsMemory: an engine whose memory is full lets requests wait,
+// and rejects others, while it has places.
+func TestBrittleEngineIsFilledBeyondItsMemory(t *testing.T) {
+	const memory = 100_000
+	now := time.Unix(1_900_000_000, 0)
+	table := newTestTable(now, "e-1")
+	table.serviceConfig = func(string) *deployment.Service {
+		return &deployment.Service{Model: &deployment.Model{MemoryTokens: memory}}
+	}
+	e := table.byID["e-1"]
+	e.info.Slots = 20
+	query := &serverQuery{service: "s", request: placement.Request{PromptTokens: 30_000, AnswerTokens: 1_000}}
+	choose := func(when string, want int) {
+		t.Helper()
+		var chosen []*placedAttempt
+		for range 10 {
+			if p := table.choose(query, now, rand.New(rand.NewPCG(1, 2))); p != nil {
+				chosen = append(chosen, p)
+			}
+		}
+		if len(chosen) != want {
+			t.Errorf("%s: %d requests, want %d", when, len(chosen), want)
+		}
+		for _, p := range chosen {
+			table.release(p)
+		}
+	}
+	choose("sound", 10)
+	table.brittle.Observe(serverlimit.Observation{Server: e.shortHash, HasLimit: true, Rate: 1, SentAt: now.UnixMilli(), ArrivedAt: now.UnixMilli()}, now)
+	choose("brittle", 2)
+	table.servingVMs = []string{"vm-2", "vm-3"}
+	choose("brittle, three VMs", 1)
+	query.request.PromptTokens = 3 * memory
+	choose("larger than the memory", 1)
+	e.ownLoad = placement.Load{Running: 1, MemoryTokens: memory}
+	choose("larger than the memory, beside another", 0)
+}
+
 // TestAttemptIsCountedForLaterVersion: the entry of a server may change while an
 // attempt runs there.
 func TestAttemptIsCountedForLaterVersion(t *testing.T) {
--- a/internal/gateway/server_places.go
+++ b/internal/gateway/server_places.go
@@ -143,11 +143,14 @@
 	return places
 }
 
-// hasPlace reports whether this node may use another place of a server.
-func (p *servicePlaces) hasPlace(b *backend) bool {
+// hasPlace reports whether this node may use another place of a server, for the request.
+func (p *servicePlaces) hasPlace(b *backend, request *placement.Request) bool {
 	if !p.isBrittle(b) {
 		return true
 	}
+	if !p.fitsMemory(b, request) {
+		return false
+	}
 	places, own := p.count(b), int(b.ownLoad.Running)
 	if !p.isDivided(b) {
 		return own < places && !p.now.Before(b.noPlaceUntil)
@@ -155,6 +158,20 @@
 	return own+int(p.totals[b.shortHash].Running) < places && own < p.share(b)
 }
 
+// fitsMemory reports whether a server has memory for the request beside those that run: without,
+// one of them waits. This node uses its share of the memory at most, or has one request there.
+func (p *servicePlaces) fitsMemory(b *backend, request *placement.Request) bool {
+	memory := placement.MaxMemoryShare * float64(p.table.memoryTokens(b.service))
+	needed, own, peers := float64(request.PromptTokens+request.AnswerTokens), b.ownLoad, p.totals[b.shortHash]
+	if memory == 0 || own.Running+peers.Running == 0 {
+		return true
+	}
+	if own.MemoryTokens+peers.MemoryTokens+needed > memory {
+		return false
+	}
+	return own.Running == 0 || !p.isDivided(b) || (own.MemoryTokens+needed)*float64(p.count(b)) <= memory*float64(p.share(b))
+}
+
 // isDivided reports whether every VM has a share of a server's places.
 func (p *servicePlaces) isDivided(b *backend) bool { return p.count(b) > len(p.table.servingVMs) }
 
