quarantine: a suspicious part accounts for its ends before it is quarantined

Change: ends of a part that is suspicious and hardly ever answered are attributed to it, as those of a quarantined one are.

--- a/internal/coordination/quarantine/parts.go
+++ b/internal/coordination/quarantine/parts.go
@@ -224,11 +224,17 @@
 	}
 }
 
-// unattributedEnds returns the remembered ends that no quarantined part has lost.
+// isLikelyCause reports whether a part is the likely cause of its ends: it is quarantined, or
+// suspicious and hardly ever answered.
+func (r *record) isLikelyCause() bool {
+	return r.Dimension == PromptPart && (r.verdict.quarantined || r.evidence.suspicion >= minExplainingWeight && r.evidence.purity() >= 1-maxPurityDifference)
+}
+
+// unattributedEnds returns the remembered ends that no part is the likely cause of.
 func (t *Table) unattributedEnds(byServer map[uint32][]*record) []Event {
 	var ends []Event
 	for _, ev := range t.ends {
-		if !slices.ContainsFunc(byServer[ev.Server], func(r *record) bool { return r.verdict.quarantined && r.evidence.hasEnd(ev) }) {
+		if !slices.ContainsFunc(byServer[ev.Server], func(r *record) bool { return r.isLikelyCause() && r.evidence.hasEnd(ev) }) {
 			ends = append(ends, ev)
 		}
 	}
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -482,3 +482,13 @@
 	}
 	t.Logf("%d of %d sound requests refused", refused, sent)
 }
+
+// TestPartsThatCrashServersHideEachOther plays days on which the ends of servers that one part
+// had caused kept another one from being quarantined.
+func TestPartsThatCrashServersHideEachOther(t *testing.T) {
+	for _, seed := range []uint64{134, 307, 1229, 1401, 1425} {
+		d := drawCrashingPart(seed)
+		d.play(30 * time.Second)
+		d.checkLate(t, seed)
+	}
+}
