gateway: connections that links reset at once are no evidence against contents

Cause: if no peer could tell whether a server that resets connections at once had ended, its state passed for unknown, and each broken answer counted as an interruption by the content.

Change: a server that resets a connection without any request says nothing about contents. Such a loss counts once the server is known to have restarted.

--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -36,12 +36,15 @@
 	serverEnded
 	// serverLeaving means that the server had announced that it would stop.
 	serverLeaving
+	// serverResetting means that the server, or the links to it, closed a connection at once
+	// that carried no request.
+	serverResetting
 	// serverNotChecked means that the attempt may have been lost because this VM's links are
 	// cut, which is no evidence about the server.
 	serverNotChecked
 )
 
-var serverStateNames = [...]string{"unknown", "listening", "ended", "leaving", "not-checked"}
+var serverStateNames = [...]string{"unknown", "listening", "ended", "leaving", "resetting", "not-checked"}
 
 func (s serverState) String() string { return serverStateNames[s] }
 
@@ -158,18 +161,18 @@
 	}
 	state, ok := n.checkServerThroughPeer(b)
 	switch {
-	case ok && state != serverNotChecked:
+	case ok && (state == serverEnded || state == serverUnknown && !errors.Is(err, upstream.ErrClosedAtOnce)):
 		return state
 	case err != nil:
 		n.recordLinkFailure(b, startedAt)
 	}
 	switch {
-	case ok || n.links.IsCut(b.service):
+	case ok && state == serverNotChecked || n.links.IsCut(b.service):
 		return serverNotChecked
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return serverEnded
 	}
-	return serverUnknown
+	return serverResetting
 }
 
 // checkServerThroughPeer determines the state of a server as seen from a peer, and false if
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -217,8 +217,8 @@
 
 // recordLoss counts a lost attempt against its request content, if the server ended or
 // interrupted its answer. An attempt that timed out on a server that still listens, or
-// that was leaving, does not count; one on a server whose state is unknown counts once the
-// server is known to have restarted.
+// that was leaving, does not count; one on a server whose state is unknown, or that resets other
+// connections too, counts once the server is known to have restarted.
 func (z *quarantiner) recordLoss(b *backend, l loss, state serverState) {
 	n, now := z.node, z.now()
 	lost := quarantine.Loss{Content: l.content, Parts: l.parts, Service: b.service, Server: b.shortHash, At: now.Add(-n.now().Sub(l.at))}
@@ -227,6 +227,8 @@
 		lost.Kind = quarantine.Ended
 	case state == serverUnknown:
 		lost.Kind, lost.RestartBy, lost.Unconfirmed = quarantine.Interrupted, now.Add(maxServerDowntime), !l.disconnected
+	case state == serverResetting:
+		lost.Kind, lost.RestartBy, lost.Unconfirmed = quarantine.Interrupted, now.Add(maxServerDowntime), true
 	case state == serverListening && l.disconnected:
 		lost.Kind, lost.RestartBy = quarantine.Interrupted, now
 	}
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -113,6 +113,42 @@
 	}
 }
 
+// TestContentIsBlamedWhileAllLinksReset: the links of all VMs reset connections for a moment, so
+// that no peer can tell whether servers have ended.
+func TestContentIsBlamedWhileAllLinksReset(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{1, 3} {
+		f := newFixture(t)
+		for i := range 8 {
+			f.addServer(fmt.Sprint("s-", i), nil)
+		}
+		nodes, cuts := startLinkedNodes(f, vms, 8)
+		send := func(n *Node, id, body string) reply {
+			return do(t, n, call{method: "POST", path: "/again/x", key: "key-w", id: id, body: body})
+		}
+		for i := range 60 {
+			send(nodes[i%vms], fmt.Sprint("before-", i), fmt.Sprint("body ", i))
+		}
+		for _, l := range cuts {
+			l.set(linksResetAll)
+		}
+		for i := range 60 {
+			send(nodes[i%vms], fmt.Sprint("cut-", i), "the same")
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, l := range cuts {
+			l.set(linksUp)
+		}
+		time.Sleep(serverCheckDelay + 2*serverCheckTimeout)
+		for i, n := range nodes {
+			f.eventually("the node serves again", func() bool { return send(n, fmt.Sprint("other-", i), "another").status == http.StatusOK })
+			if got := send(n, fmt.Sprint("after-", i), "the same"); got.status != http.StatusOK {
+				t.Errorf("%d VMs, node %d: got %+v", vms, i, got)
+			}
+		}
+	}
+}
+
 // TestFullPeerTakesTunnels: a peer rejects tunnels beyond its bound, and the request is
 // rejected as not run.
 func TestFullPeerTakesTunnels(t *testing.T) {
