--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -92,9 +92,12 @@
 // TestNodesLoseLinks runs a short round of ScenarioLinks.
 func TestNodesLoseLinks(t *testing.T) {
 	t.Parallel()
+	binary := buildGateway(t)
 	// 12: nodes without links served nothing. Later, contents that had lost their connections
 	// with the links were quarantined.
-	runSeed(t, Options{Seed: 12, Processes: 5, Scenario: ScenarioLinks, Binary: buildGateway(t), RoundDuration: 12 * time.Second})
+	runSeed(t, Options{Seed: 12, Processes: 5, Scenario: ScenarioLinks, Binary: binary, RoundDuration: 12 * time.Second})
+	// 226: the same, while no node had its links.
+	runSeed(t, Options{Seed: 226, Processes: 5, Scenario: ScenarioLinks, Binary: binary, RoundDuration: 12 * time.Second})
 }
 
 // TestBrittleServers runs a short round of ScenarioBrittle.
