gossip: a VM that knows few others does not take the deployment for a mesh

A VM that starts early lists the VMs registered before it, is introduced to those of its zone, and learns of the selected hubs of the others. In a deployment of 17 to about 90 VMs that can be 16 or fewer. It then took the deployment for a mesh: it sent its digest to all VMs it knew, ignored its hub's digests, knew nothing of the load and the quotas of the other zones, and took part in reading the store by a mesh's rule.

A hub's digest states how many VMs it covers. That number counts for the topology now, also while the VM uses no such digests.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -230,6 +230,11 @@
 	allHub        string
 	allReceivedAt time.Time
 	allCount      int
+	// statedCount is the number of VMs that a hub's All digest covered last, this one
+	// included, and statedAt its time. Unlike allCount it is kept while this VM uses no All
+	// digests, as a VM may know fewer others than there are.
+	statedCount int
+	statedAt    time.Time
 	// zoneHubs holds for each other zone the peer address of the hub whose Zone
 	// digests this VM uses, zoneTotals the totals accumulated from them, and
 	// allTotals those accumulated from the digests of allHub.
@@ -318,6 +323,9 @@
 			knownVMs++
 		}
 	}
+	if !c.statedAt.IsZero() && now.Sub(c.statedAt) < c.cfg.TopologyTimeout {
+		knownVMs = max(knownVMs, c.statedCount)
+	}
 	return max(knownVMs, c.Count(now)) <= c.cfg.MeshLimit
 }
 
@@ -437,6 +445,7 @@
 		p.allTotals.reset()
 	}
 	p.allDigestAt = now
+	c.statedCount, c.statedAt = d.Count+1, now
 	if c.IsMesh(now) || c.isHub(now) {
 		p.allTotals.accumulate(d, nil)
 		c.allReceivedAt = time.Time{}
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -216,6 +216,24 @@
 	})
 }
 
+// TestPartialViewIsNoMesh: a VM that starts early knows only those that started before it, its
+// zone's and the hubs, which may be few enough for a mesh. It would then ignore its hub's
+// digests and know nothing of the load from the other zones.
+func TestPartialViewIsNoMesh(t *testing.T) {
+	for _, shape := range []struct{ vms, zones int }{{17, 4}, {18, 6}, {24, 9}, {40, 6}, {60, 6}, {88, 8}} {
+		w := newCluster(shape.vms, shape.zones)
+		w.run(25)
+		for _, v := range w.vms {
+			if v.core.IsMesh(w.now) {
+				t.Errorf("%d VMs in %d zones: %s takes them for a mesh", shape.vms, shape.zones, v.id.VM)
+			}
+			if known, total := v.knownLoad(w.now), w.totalLoad(); known != total {
+				t.Errorf("%d VMs in %d zones: %s knows of a load of %d, there is %d", shape.vms, shape.zones, v.id.VM, known, total)
+			}
+		}
+	}
+}
+
 // TestStaleDigestsAreDropped checks that repeated and reordered digests are
 // dropped, and that a new incarnation restarts the sequence.
 func TestStaleDigestsAreDropped(t *testing.T) {
