gossip: the readers of the store do not grow with the zones

With hubs, all of them read the store: two of each zone, 12 in six zones, 18 in nine. Each new record ended the reads of all, and each held its own read when there was none.

What must be known in time does not follow from the zones. Four VMs read now, of four zones if there are as many, whatever the shape; of one zone's VMs also those that are no hubs. The others hear of records and confirmations by digests, and ask the store themselves before the bound if nothing is confirmed, as before. A third of the VMs may be isolated from the store at once: with four readers all of them are in about 1 of 70 such cases, and the bound holds then by the others' own questions. TestHopsExceedBound has the hop more through a hub that reads nothing.

--- a/internal/coordination/freshness/freshness_test.go
+++ b/internal/coordination/freshness/freshness_test.go
@@ -22,6 +22,9 @@
 		first, second, other := Role{IsReader: true, Readers: 4}, Role{IsReader: true, Rank: 1, Readers: 4}, Role{Spread: 1}
 		toPeer := earlyDigestGap + transit + s.WakeupGrace() + transit
 		relayFails := s.RelayTimeout() + transit
+		// VMs whose hub does not read the store learn of a record one hop later. Neither of
+		// them has a held read to leave.
+		throughHub := 2 * (earlyDigestGap + transit + transit)
 		for name, sum := range map[string]time.Duration{
 			"held reads silent":                     s.DoubtAge(first) + transit + toPeer,
 			"held reads silent, relay fails":        s.DoubtAge(first) + transit + toPeer + relayFails,
@@ -30,6 +33,7 @@
 			"held reads silent, first check fails":  s.DoubtAge(first) + s.CheckTimeout(0) + transit + toPeer,
 			"digest lost, relay fails":              transit + toPeer + digestInterval + relayFails,
 			"readers say that they read":            s.DoubtAge(other) + transit,
+			"held reads silent, through a hub":      s.DoubtAge(first) + transit + throughHub + digestInterval + relayFails,
 		} {
 			if sum > bound {
 				t.Errorf("%s: %v, bound %v", name, sum, bound)
--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -16,11 +16,14 @@
 type Config struct {
 	// MeshLimit is the maximum number of VMs that form a mesh.
 	MeshLimit int
-	// HubsPerZone is the number of hubs of a zone. Hubs read the store; in a mesh
-	// at least MinReaders VMs do. MaxIsolatedShare is the share of VMs that may
-	// be isolated from the store at the same time.
-	HubsPerZone      int
+	// HubsPerZone is the number of hubs of a zone.
+	HubsPerZone int
+	// MinReaders is the number of VMs of a mesh that read the store at least, and
+	// HubReaders the number of those that do where there are hubs, whatever the number of
+	// zones. MaxIsolatedShare is the share of VMs that may be isolated from the store at
+	// the same time.
 	MinReaders       int
+	HubReaders       int
 	MaxIsolatedShare float64
 	// FreshTimeout is the time without a digest of a VM after which it is no
 	// longer considered reachable.
@@ -48,6 +51,7 @@
 	MeshLimit:              16,
 	HubsPerZone:            2,
 	MinReaders:             3,
+	HubReaders:             4,
 	MaxIsolatedShare:       0.35,
 	FreshTimeout:           1200 * time.Millisecond,
 	UnresponsiveTimeout:    2 * time.Second,
@@ -474,10 +478,16 @@
 	return out
 }
 
-// hubsOf returns the hubs of a zone: the VMs with the highest link bandwidth, in
+// hubsOf returns the hubs of a zone: the first VMs of its order.
+func (c *Core) hubsOf(zone string, now time.Time) []*peer {
+	list := c.orderOf(zone, now)
+	return list[:min(len(list), c.cfg.HubsPerZone)]
+}
+
+// orderOf returns the VMs of a zone, those with the highest link bandwidth first, in
 // the same order on every VM that has the same peers. Draining and unresponsive
 // VMs are skipped.
-func (c *Core) hubsOf(zone string, now time.Time) []*peer {
+func (c *Core) orderOf(zone string, now time.Time) []*peer {
 	var list []*peer
 	if zone == c.self.AvailabilityZone {
 		list = append(list, &peer{Member: Member{Identity: c.self}, hash: c.hash, lastReceivedAt: now})
@@ -490,7 +500,7 @@
 	slices.SortFunc(list, func(a, b *peer) int {
 		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.hash, b.hash), cmp.Compare(a.PeerAddress, b.PeerAddress))
 	})
-	return list[:min(len(list), c.cfg.HubsPerZone)]
+	return list
 }
 
 // isUnresponsive reports whether a peer has left digests unanswered for longer
@@ -537,11 +547,14 @@
 func (c *Core) ReaderRole(now time.Time) freshness.Role {
 	r := freshness.Role{Spread: float64(c.hash%spreadSteps) / spreadSteps}
 	if !c.IsMesh(now) {
+		// The first VM of each zone is in turn before the second of any. The other VMs
+		// learn of new records from digests, and ask the store themselves if nothing
+		// confirms that there are none, so more readers would only add calls.
 		zones := c.zoneNames()
-		r.Readers = len(zones) * c.cfg.HubsPerZone
-		place := slices.IndexFunc(c.hubsOf(c.self.AvailabilityZone, now), func(p *peer) bool { return p.PeerAddress == c.self.PeerAddress })
-		r.IsReader = place >= 0
+		r.Readers = c.cfg.HubReaders
+		place := slices.IndexFunc(c.orderOf(c.self.AvailabilityZone, now), func(p *peer) bool { return p.PeerAddress == c.self.PeerAddress })
 		r.Rank = max(place, 0)*len(zones) + slices.Index(zones, c.self.AvailabilityZone)
+		r.IsReader = place >= 0 && r.Rank < r.Readers
 		return r
 	}
 	vms := 1
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -234,6 +234,32 @@
 	}
 }
 
+// TestStoreReadersFollowTheBoundNotTheZones: readers exist so that a record is known within
+// the bound, and every VM asks the store itself before the bound if nothing confirms its copy.
+// So neither more zones nor more VMs need more readers. They are of as many zones as there
+// can be, and their ranks differ.
+func TestStoreReadersFollowTheBoundNotTheZones(t *testing.T) {
+	const readersWanted = 4
+	for _, shape := range []struct{ vms, zones int }{{18, 6}, {24, 9}, {17, 1}, {82, 4}, {60, 2}, {295, 6}} {
+		w := newCluster(shape.vms, shape.zones)
+		w.run(25)
+		ranks, zones := map[int]bool{}, map[string]bool{}
+		for _, v := range w.vms {
+			role := v.core.ReaderRole(w.now)
+			if !role.IsReader {
+				continue
+			}
+			if ranks[role.Rank] || role.Rank >= role.Readers {
+				t.Errorf("%s of %d VMs in %d zones: rank %d of %d is wrong or given twice", v.id.VM, shape.vms, shape.zones, role.Rank, role.Readers)
+			}
+			ranks[role.Rank], zones[v.id.AvailabilityZone] = true, true
+		}
+		if len(ranks) != readersWanted || len(zones) != min(shape.zones, readersWanted) {
+			t.Errorf("%d VMs in %d zones: %d read the store, in %d zones, want %d in %d", shape.vms, shape.zones, len(ranks), len(zones), readersWanted, min(shape.zones, readersWanted))
+		}
+	}
+}
+
 // TestStaleDigestsAreDropped checks that repeated and reordered digests are
 // dropped, and that a new incarnation restarts the sequence.
 func TestStaleDigestsAreDropped(t *testing.T) {
