gateway: servers are ordered by the answers that begin late

Change: VMs count answers that begin and those that begin late, digests carry both as totals of the kind they already had (a peer of an older build passes them on), and the lease holder learns from their share an upper bound of the planned use, see design/platform.md.

--- a/internal/coordination/fleetplan/meter.go
+++ b/internal/coordination/fleetplan/meter.go
@@ -29,6 +29,8 @@
 	// the highest average of the last PeakHold, as traffic that has risen may rise
 	// again.
 	Window, PeakHold time.Duration
+	// Lateness configures how the planned utilizations are lowered while answers begin late.
+	Lateness LatenessConfig
 }
 
 // slotMargin scales the reduction of the planned utilization for engines that run
@@ -55,6 +57,7 @@
 	// firstWorkAt is the time at which work was first measured.
 	firstWorkAt time.Time
 	measuredAt  time.Time
+	limit       utilizationLimit
 }
 
 // sample is the cumulative work at a time, in milliseconds of a VM.
@@ -70,7 +73,9 @@
 }
 
 // NewMeter returns a meter without measurements.
-func NewMeter(cfg DemandConfig) *Meter { return &Meter{cfg: cfg} }
+func NewMeter(cfg DemandConfig) *Meter {
+	return &Meter{cfg: cfg, limit: utilizationLimit{cfg: cfg.Lateness}}
+}
 
 // RecordWork records the cumulative work requested since a fixed time, in
 // milliseconds of a VM.
@@ -95,6 +100,21 @@
 	}
 }
 
+// RecordAnswers records the cumulative numbers of answers since a fixed time and of those among
+// them that began late, with the number of VMs that serve. It reports whether the planned
+// utilization was lowered, and the share of late answers.
+func (m *Meter) RecordAnswers(answered, late float64, servingVMs int, now time.Time) (lowered bool, lateShare float64) {
+	utilization := 0.0
+	if len(m.peaks) > 0 && servingVMs > 0 {
+		utilization = m.peaks[len(m.peaks)-1].busyVMs / float64(servingVMs)
+	}
+	return m.limit.record(answerSample{now, answered, late}, utilization, m.cfg.Required.Utilization)
+}
+
+// UtilizationLimit returns the utilization up to which answers are expected to begin in time,
+// 0 if none is learned.
+func (m *Meter) UtilizationLimit() float64 { return m.limit.value }
+
 // VMs returns the numbers of VMs, for the Required and the Preferred level, that
 // have to remain after the loss of any one availability zone. initialVMs is the
 // initial number of VMs.
@@ -104,7 +124,10 @@
 		busyVMs = max(busyVMs, p.busyVMs)
 	}
 	measured := m.Measured()
-	return m.cfg.Required.vms(busyVMs, initialVMs, measured), m.cfg.Preferred.vms(busyVMs, initialVMs, measured)
+	requiredLevel, preferredLevel := m.cfg.Required, m.cfg.Preferred
+	requiredLevel.Utilization = m.limit.bound(requiredLevel.Utilization)
+	preferredLevel.Utilization = m.limit.bound(preferredLevel.Utilization)
+	return requiredLevel.vms(busyVMs, initialVMs, measured), preferredLevel.vms(busyVMs, initialVMs, measured)
 }
 
 // Measured reports whether work has been measured for long enough to plan by it
--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -140,8 +140,9 @@
 	Total     uint64
 }
 
-// Work is the total engine time, in milliseconds, that requests to a service have
-// demanded. It never decreases.
+// Work is a total of a service that never decreases: the engine time, in milliseconds, that its
+// requests have demanded, or the number of its answers of some kind. Service is the hash of the
+// total's name, which is that of the service for the engine time.
 type Work struct {
 	Service uint32
 	Millis  uint64
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -317,8 +317,8 @@
 			d.Usage = append(d.Usage, gossip.Usage{Window: window, Workspace: name, Count: count})
 		}
 	}
-	for service, millis := range n.work.ownTotals() {
-		d.Work = append(d.Work, gossip.Work{Service: shortHash(service), Millis: uint64(millis)})
+	for name, total := range n.work.ownTotals() {
+		d.Work = append(d.Work, gossip.Work{Service: shortHash(name), Millis: uint64(total)})
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,7 @@
 	storeEra           prometheus.Gauge
 	permits            *prometheus.CounterVec
 	serverLimits       *prometheus.GaugeVec
+	utilizationLimit   *prometheus.GaugeVec
 	brittleServers     *prometheus.GaugeVec
 	tunnels            *prometheus.CounterVec
 	servedTunnels      prometheus.Gauge
@@ -84,6 +85,9 @@
 		serverLimits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_server_limit", Help: "Requests per second that a backend server takes from all VMs, as it has named them.",
 		}, []string{"server", "service"}),
+		utilizationLimit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_utilization_limit_ratio", Help: "Utilization of a service's servers up to which answers are expected to begin in time, as the lease holder has learned it from late ones; 0 if it has learned none.",
+		}, []string{"service"}),
 		brittleServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_brittle_server_places", Help: "Places of a backend server that states that it fails if it has to reject many requests.",
 		}, []string{"server", "service"}),
@@ -104,6 +108,6 @@
 		}, []string{"importance"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -44,6 +44,11 @@
 	Preferred: fleetplan.Level{Utilization: 0.87, FloorShare: 0.7, InitialShare: 0.7},
 	Window:    3 * time.Second,
 	PeakHold:  10 * time.Second,
+	Lateness: fleetplan.LatenessConfig{
+		Window: 3 * time.Second, MinAnswers: 20, MaxLateShare: 0.1,
+		MaxReduction: 0.4, MinUtilization: 0.4, SettleTime: 7 * time.Second,
+		CalmTime: 10 * time.Second, RaisePerSecond: 0.01,
+	},
 }
 
 // orderer orders backend servers while this node holds the lease.
@@ -137,6 +142,10 @@
 	observed := o.countServers(name)
 	o.recordIneffective(name, so, s.Scaling.BootTime+registrationTime, observed, now)
 	so.meter.RecordWork(o.node.work.total(name), now)
+	if lowered, late := so.meter.RecordAnswers(o.node.work.total(answeredTotal(name)), o.node.work.total(lateTotal(name)), observed.Total(), now); lowered {
+		o.node.log.Event("duties", "utilization-lowered", "service", name, "to", so.meter.UtilizationLimit(), "late", late, "servers", observed.Total())
+	}
+	o.node.metrics.utilizationLimit.WithLabelValues(name).Set(so.meter.UtilizationLimit())
 	initial := o.initialSize(name)
 	if initial == 0 {
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,6 +94,7 @@
 		q.timeToFirstByte = now.Sub(q.startedAt)
 	}
 	q.countUsage(now)
+	q.countFirstToken(now)
 	n.moves.firstAnswer(a.placed, false, now.Sub(a.startedAt), now)
 	n.health.RecordOutcome(a.placed.health, health.Outcome{Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
 }
