gateway: less processor time of each VM in a large deployment

Two figures grow with the deployment: every choice of a server made a map and a list over all of them, and the collector marked the heap that this made; three loops asked the members every 0.3 s.

The lists of a choice are kept for the next one, idle followers wait up to 1 s unless they are woken (the age of the last confirmation bounds that as before), and the heap may grow to three times what lives until it is collected.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -112,6 +112,10 @@
 	// activeKeys holds the keys of peerLoads that are counted at present, with
 	// the number of VMs that each covers.
 	activeKeys map[string]int
+	// candidates and totals are used within one choice only. Each request makes one, over
+	// all servers of its service.
+	candidates []placement.Candidate
+	totals     map[uint32]placement.Load
 	health     *health.Table
 	// announcements holds what servers have stated in their answers.
 	announcements *announcements.Table
@@ -148,6 +152,7 @@
 		byID:      map[string]*backend{},
 		byService: map[string][]*backend{},
 		peerLoads: map[string]peerLoad{},
+		totals:    map[uint32]placement.Load{},
 		health:    h,
 
 		announcements: announcements.NewTable(),
@@ -576,14 +581,15 @@
 	if len(query.preferred) > 0 {
 		servers = preferredOf(servers, query.preferred)
 	}
-	candidates := make([]placement.Candidate, len(servers))
+	t.candidates = t.candidates[:0]
 	peerTotals := t.peerTotals(now)
 	memory := t.memoryTokens(query.service)
-	for i, b := range servers {
-		candidates[i] = t.candidate(b, query, peerTotals[b.shortHash], now)
-		candidates[i].MemoryTokens = memory
+	for _, b := range servers {
+		c := t.candidate(b, query, peerTotals[b.shortHash], now)
+		c.MemoryTokens = memory
+		t.candidates = append(t.candidates, c)
 	}
-	choice := placement.Choose(placement.DefaultCost, query.request, candidates, random)
+	choice := placement.Choose(placement.DefaultCost, query.request, t.candidates, random)
 	if choice.Index < 0 {
 		return nil
 	}
@@ -751,11 +757,12 @@
 	p.server.connectFailures, p.server.unreachableUntil = 0, time.Time{}
 }
 
-// peerTotals returns the load that peers report for each server, by short hash.
-// Expired reports and those under inactive keys are not counted. The caller must
+// peerTotals returns the load that peers report for each server, by short hash, until the next
+// call. Expired reports and those under inactive keys are not counted. The caller must
 // hold the lock.
 func (t *backendTable) peerTotals(now time.Time) map[uint32]placement.Load {
-	totals := map[uint32]placement.Load{}
+	totals := t.totals
+	clear(totals)
 	for key, p := range t.peerLoads {
 		if now.Sub(p.receivedAt) > maxLoadAge || t.activeKeys[key] == 0 {
 			continue
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -21,6 +21,9 @@
 	// memoryShare of the VM's memory is the garbage collector's soft limit. The rest
 	// is for memory that the kernel holds for the process.
 	memoryShare = 0.6
+	// collectionPercent is the growth of the heap until the next garbage collection. Marking
+	// takes longer than serving what was allocated meanwhile; the memory limit bounds the heap.
+	collectionPercent = 200
 	megabyte    = 1 << 20
 )
 
@@ -74,6 +77,7 @@
 
 // setMemoryLimit sets the garbage collector's memory limit from the settings.
 func setMemoryLimit(settings *Settings) {
+	debug.SetGCPercent(collectionPercent)
 	debug.SetMemoryLimit(int64(memoryShare * settings.MemoryMB * megabyte))
 }
 
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -39,7 +39,7 @@
 	restoreTime = 3 * time.Second
 	// idleCheckInterval is the interval at which a node that relies on other
 	// readers checks whether one of them still reads the store.
-	idleCheckInterval = 300 * time.Millisecond
+	idleCheckInterval = time.Second
 )
 
 // follower keeps this node up to date with the newest records of a keyed topic.
