gossip: every VM hears of the readers of the store, and orders the VMs once

Cause: a VM relies on readers if a digest that it received itself says that its sender reads. The VMs of a zone whose hubs don't read hear only these. With four readers all 86 VMs of two of six zones read the store every 0.3 s: 7,368 calls until the first second of traffic.

A hub states in its digests to its zone whether it reads or hears of a VM that does; that is not passed on again, so that nothing goes round after the last reader. Both statements expire with the digests that made them. Together with that, what follows from the list of VMs (mesh or hubs, the order in each zone) is computed at most every 100 ms, or after a change, instead of for each digest and question, and questions about digests visit only the VMs from which one has come.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -85,9 +85,14 @@
 	ownDigestAt  time.Time
 	zoneDigest   *Digest
 	zoneDigestAt time.Time
-	readsStore   bool
-	documentEnd  storelog.Position
-	serversEnd   storelog.Position
+	// readsStoreAt is the time of the last digest in which the peer stated that it reads the
+	// store, and passesOnReadsAt that of the last one in which it stated, as a hub, that it
+	// hears of a VM that does. They are zero once it has stated the opposite. The latter is
+	// not passed on again.
+	readsStoreAt    time.Time
+	passesOnReadsAt time.Time
+	documentEnd     storelog.Position
+	serversEnd      storelog.Position
 	// documentConfirmations and serversConfirmations are the last times at which the
 	// store confirmed what the peer has read.
 	documentConfirmations, serversConfirmations confirmations
@@ -227,7 +232,13 @@
 	hash       uint64
 	lastTickAt time.Time
 	peers      map[string]*peer
-	sequence   uint64
+	// heard holds the peers from which a digest has ever arrived. With hubs they are few.
+	heard []*peer
+	// shape is valid for shapeTTL after shapedAt, unless a change of the peers has
+	// made it zero.
+	shape    shape
+	shapedAt time.Time
+	sequence uint64
 	// allHub is the peer address of the hub whose All digests this VM uses,
 	// allReceivedAt the time of the last one, and allCount the number of VMs that
 	// it covers, this one included.
@@ -253,6 +264,30 @@
 	return &Core{cfg: cfg, self: self, hash: hash(self.VM), peers: map[string]*peer{}, zoneHubs: map[string]string{}, zoneTotals: map[string]*totals{}}
 }
 
+// shape is what follows from the list of peers: whether the deployment is a mesh, and the order
+// of the VMs of each zone. Every digest and every read asks for it.
+type shape struct {
+	isMesh bool
+	zones  []string
+	orders map[string][]*peer
+}
+
+// shapeTTL bounds the age of a shape. A VM becomes unresponsive, or is no longer counted, by
+// the passage of time alone.
+const shapeTTL = 100 * time.Millisecond
+
+// currentShape returns the shape at now.
+func (c *Core) currentShape(now time.Time) *shape {
+	if age := now.Sub(c.shapedAt); c.shapedAt.IsZero() || age < 0 || age >= shapeTTL {
+		c.shape = shape{isMesh: c.computeIsMesh(now), zones: c.computeZoneNames(), orders: map[string][]*peer{}}
+		c.shapedAt = now
+	}
+	return &c.shape
+}
+
+// reshape makes the next call compute the shape anew.
+func (c *Core) reshape() { c.shapedAt = time.Time{} }
+
 // AddPeer adds a VM from a member list, unless it is this VM or is present already.
 func (c *Core) AddPeer(id Identity, now time.Time) {
 	if id.PeerAddress == "" || id.PeerAddress == c.self.PeerAddress {
@@ -261,17 +296,21 @@
 	p, ok := c.peers[id.PeerAddress]
 	if !ok {
 		c.peers[id.PeerAddress] = &peer{Member: Member{Identity: id}, hash: hash(id.VM), addedAt: now, sequence: map[Kind]uint64{}}
+		c.reshape()
 		return
 	}
 	if p.VM == "" {
-		p.setMember(Member{Identity: id})
+		c.setMember(p, Member{Identity: id})
 	}
 }
 
-func (p *peer) setMember(m Member) {
+func (c *Core) setMember(p *peer, m Member) {
 	if p.VM != m.VM {
 		p.hash = hash(m.VM)
 	}
+	if p.VM != m.VM || p.AvailabilityZone != m.AvailabilityZone || p.LinkMbps != m.LinkMbps || p.Draining != m.Draining {
+		c.reshape()
+	}
 	p.Member = m
 }
 
@@ -320,7 +359,9 @@
 // IsMesh reports whether every VM sends digests to every other VM. Unresponsive
 // VMs are counted for TopologyTimeout, so that a fault does not switch between a
 // mesh and hubs.
-func (c *Core) IsMesh(now time.Time) bool {
+func (c *Core) IsMesh(now time.Time) bool { return c.currentShape(now).isMesh }
+
+func (c *Core) computeIsMesh(now time.Time) bool {
 	knownVMs := 1
 	for _, p := range c.peers {
 		if now.Sub(p.lastSeenAt()) < c.cfg.TopologyTimeout {
@@ -356,9 +397,24 @@
 		return Update{}, false
 	}
 	p.sequence[d.Kind] = d.Sequence
-	p.setMember(d.Member)
+	c.setMember(p, d.Member)
+	if p.lastReceivedAt.IsZero() {
+		c.heard = append(c.heard, p)
+	}
+	if c.isUnresponsive(p, now) {
+		c.reshape()
+	}
 	p.lastReceivedAt, p.unansweredSince = now, time.Time{}
-	p.readsStore, p.documentEnd, p.serversEnd = d.ReadsStore, d.DocumentEnd, d.ServersEnd
+	statedAt := time.Time{}
+	if d.ReadsStore {
+		statedAt = now
+	}
+	if d.Kind == AllVMs {
+		p.passesOnReadsAt = statedAt
+	} else {
+		p.readsStoreAt = statedAt
+	}
+	p.documentEnd, p.serversEnd = d.DocumentEnd, d.ServersEnd
 	p.documentConfirmations.receive(d.DocumentAge, d.DocumentEnd, d.Kind, now)
 	p.serversConfirmations.receive(d.ServersAge, d.ServersEnd, d.Kind, now)
 	c.receiveHolder(d, now)
@@ -367,7 +423,7 @@
 		if q, ok := c.peers[m.PeerAddress]; ok {
 			q.listedAt = now
 			if !c.isFresh(q.lastReceivedAt, now) {
-				q.setMember(m)
+				c.setMember(q, m)
 			}
 		}
 	}
@@ -449,7 +505,11 @@
 		p.allTotals.reset()
 	}
 	p.allDigestAt = now
-	c.statedCount, c.statedAt = d.Count+1, now
+	if c.statedCount != d.Count+1 {
+		c.statedCount = d.Count + 1
+		c.reshape()
+	}
+	c.statedAt = now
 	if c.IsMesh(now) || c.isHub(now) {
 		p.allTotals.accumulate(d, nil)
 		c.allReceivedAt = time.Time{}
@@ -470,7 +530,7 @@
 // subscribers returns the VMs of this zone that send their Own digests to this VM.
 func (c *Core) subscribers(now time.Time) []*peer {
 	var out []*peer
-	for _, p := range c.peers {
+	for _, p := range c.heard {
 		if p.AvailabilityZone == c.self.AvailabilityZone && c.isFresh(p.ownDigestAt, now) {
 			out = append(out, p)
 		}
@@ -488,6 +548,16 @@
 // the same order on every VM that has the same peers. Draining and unresponsive
 // VMs are skipped.
 func (c *Core) orderOf(zone string, now time.Time) []*peer {
+	shape := c.currentShape(now)
+	list, ok := shape.orders[zone]
+	if !ok {
+		list = c.computeOrder(zone, now)
+		shape.orders[zone] = list
+	}
+	return list
+}
+
+func (c *Core) computeOrder(zone string, now time.Time) []*peer {
 	var list []*peer
 	if zone == c.self.AvailabilityZone {
 		list = append(list, &peer{Member: Member{Identity: c.self}, hash: c.hash, lastReceivedAt: now})
@@ -515,7 +585,10 @@
 	return h.Sum64()
 }
 
-func (c *Core) zoneNames() []string {
+// zoneNames returns the zones of all VMs, in order.
+func (c *Core) zoneNames(now time.Time) []string { return c.currentShape(now).zones }
+
+func (c *Core) computeZoneNames() []string {
 	seen := map[string]bool{c.self.AvailabilityZone: true}
 	for _, p := range c.peers {
 		if p.AvailabilityZone != "" {
@@ -550,7 +623,7 @@
 		// The first VM of each zone is in turn before the second of any. The other VMs
 		// learn of new records from digests, and ask the store themselves if nothing
 		// confirms that there are none, so more readers would only add calls.
-		zones := c.zoneNames()
+		zones := c.zoneNames(now)
 		r.Readers = c.cfg.HubReaders
 		place := slices.IndexFunc(c.orderOf(c.self.AvailabilityZone, now), func(p *peer) bool { return p.PeerAddress == c.self.PeerAddress })
 		r.Rank = max(place, 0)*len(zones) + slices.Index(zones, c.self.AvailabilityZone)
@@ -583,14 +656,17 @@
 }
 
 // HasStoreReader reports whether this VM has received a digest within FreshTimeout
-// from a VM that reads the store.
+// from a VM that reads the store, or from a hub that has.
 func (c *Core) HasStoreReader(now time.Time) bool {
-	for _, p := range c.peers {
-		if p.readsStore && c.isFresh(p.lastReceivedAt, now) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.heard, func(p *peer) bool {
+		return c.isFresh(p.readsStoreAt, now) || c.isFresh(p.passesOnReadsAt, now)
+	})
+}
+
+// hearsReader reports whether this VM has received a digest within FreshTimeout from a VM that
+// reads the store itself.
+func (c *Core) hearsReader(now time.Time) bool {
+	return slices.ContainsFunc(c.heard, func(p *peer) bool { return c.isFresh(p.readsStoreAt, now) })
 }
 
 // IsReachable reports whether this VM has received a digest of the VM at address, with
@@ -626,7 +702,7 @@
 // document topic or, if inDocumentTopic is false, in the servers topic, and the
 // end offset up to which it has read.
 func (c *Core) FurthestReader(inDocumentTopic bool, now time.Time) (address string, end storelog.Position) {
-	for _, p := range c.peers {
+	for _, p := range c.heard {
 		if !c.isFresh(p.lastReceivedAt, now) {
 			continue
 		}
@@ -654,7 +730,7 @@
 // its age on the way.
 func (c *Core) Confirmation(inDocumentTopic bool, end storelog.Position, isOwn bool) Confirmation {
 	var last Confirmation
-	for _, p := range c.peers {
+	for _, p := range c.heard {
 		told := &p.serversConfirmations
 		if inDocumentTopic {
 			told = &p.documentConfirmations
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -30,6 +30,8 @@
 	sent      map[string]int
 	crossZone int
 	lost      func() bool
+	// storeDown is set while no VM can read the store.
+	storeDown bool
 }
 
 type vm struct {
@@ -86,6 +88,7 @@
 			}
 			own := Digest{Loads: []Load{{Server: 1, Running: v.load}}}
 			own.Ready = true
+			own.ReadsStore = !w.storeDown && v.core.IsReader(w.now)
 			for _, m := range v.core.Tick(own, w.now) {
 				w.deliver(v, byAddress[m.To], m)
 			}
@@ -260,6 +263,35 @@
 	}
 }
 
+// TestEveryVMHearsOfAStoreReader: a VM that hears of none reads the store itself. Seen on
+// detsporenie-tt-large, once only four VMs read: all 86 VMs of the two zones whose hubs do not read
+// read the store every 0.3 s, 3,500 calls before the traffic began.
+func TestEveryVMHearsOfAStoreReader(t *testing.T) {
+	for _, shape := range []struct{ vms, zones int }{{8, 4}, {18, 6}, {24, 9}, {82, 4}, {100, 1}, {295, 6}} {
+		w := newCluster(shape.vms, shape.zones)
+		w.run(25)
+		unaware := func() (count int) {
+			for _, v := range w.vms {
+				if !v.core.IsReader(w.now) && !v.core.HasStoreReader(w.now) {
+					count++
+				}
+			}
+			return count
+		}
+		if n := unaware(); n > 0 {
+			t.Errorf("%d VMs in %d zones: %d hear of no reader", shape.vms, shape.zones, n)
+		}
+		w.storeDown = true
+		w.run(12)
+		for _, v := range w.vms {
+			if v.core.HasStoreReader(w.now) {
+				t.Errorf("%d VMs in %d zones: %s hears of a reader long after the last one", shape.vms, shape.zones, v.id.VM)
+				break
+			}
+		}
+	}
+}
+
 // TestStaleDigestsAreDropped checks that repeated and reordered digests are
 // dropped, and that a new incarnation restarts the sequence.
 func TestStaleDigestsAreDropped(t *testing.T) {
--- a/internal/coordination/gossip/messages.go
+++ b/internal/coordination/gossip/messages.go
@@ -110,7 +110,7 @@
 		return out
 	}
 	zone := c.zoneAggregate(own, subscribers)
-	for _, name := range c.zoneNames() {
+	for _, name := range c.zoneNames(now) {
 		if name == c.self.AvailabilityZone {
 			continue
 		}
@@ -317,10 +317,12 @@
 	}
 	documentAge := newerAge(own.DocumentAge, c.Confirmation(true, own.DocumentEnd, true).At, now)
 	serversAge := newerAge(own.ServersAge, c.Confirmation(false, own.ServersEnd, true).At, now)
+	hearsReader := c.hearsReader(now)
 	var out []Message
 	for _, p := range subscribers {
 		d := a.digest(own, AllVMs, p)
 		d.DocumentAge, d.ServersAge = documentAge, serversAge
+		d.ReadsStore = own.ReadsStore || hearsReader
 		d.Members = list
 		out = append(out, Message{To: p.PeerAddress, Digest: d})
 	}
