gateway: an unexpected input ends one request or message, not the process

Found by looking for what went wrong at similar systems: no goroutine of the gateway but those of the HTTP library's handlers recovered from a panic, so that one answer, digest or record that no code expects would have ended the process with all its requests.

A panic in a request, in the exchange with a server, in a digest or a record is logged with its stack and counted, and ends only that; the request gets 502, as it may have run, or its connection is closed. A loop that panics runs again after a second. The lock of the members is released when a digest panics.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -346,7 +346,11 @@
 	request.Connection = connection
 	request.MaySend = a.maySend
 	request.OnData = func() { a.lastByteAt.Store(int64(time.Since(a.startedAt))) }
-	go a.exchange(request)
+	go func() {
+		if !q.node.contain("exchange", func() { a.exchange(request) }) {
+			a.deliver(arrival{kind: arrivedEnd, err: errPanic})
+		}
+	}()
 	return a
 }
 
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -24,7 +24,7 @@
 	// collectionPercent is the growth of the heap until the next garbage collection. Marking
 	// takes longer than serving what was allocated meanwhile; the memory limit bounds the heap.
 	collectionPercent = 200
-	megabyte    = 1 << 20
+	megabyte          = 1 << 20
 )
 
 // Command returns the command that runs the process.
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -252,7 +252,7 @@
 		f.node.metrics.restorations.WithLabelValues(f.topic).Inc()
 	}
 	for _, c := range changes {
-		f.apply(c)
+		f.node.contain("record", func() { f.apply(c) })
 	}
 	f.node.members.recordReadEnd(f.topic, end)
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -60,7 +60,9 @@
 			n.openRequests.Add(-1)
 			n.metrics.openRequests.Dec()
 		}()
-		n.serve(w, r)
+		if !n.contain("request", func() { n.serve(w, r) }) {
+			httpserver.Abort(w)
+		}
 	})
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -46,6 +46,8 @@
 type members struct {
 	node *Node
 	conn *net.UDPConn
+	// receivers starts the loops that run beside that of run, which may run again.
+	receivers sync.Once
 	// startedAt is the start of the process. vmsListed is set once the list of
 	// all VMs has been read.
 	startedAt time.Time
@@ -109,8 +111,10 @@
 // run sends and receives digests until ctx ends.
 func (m *members) run(ctx context.Context) {
 	m.addSeeds()
-	m.node.loops.Go(func() { m.receive(ctx) })
-	m.node.loops.Go(func() { m.register(ctx) })
+	m.receivers.Do(func() {
+		m.node.runLoop(ctx, "digests", m.receive)
+		m.node.runLoop(ctx, "registration", m.register)
+	})
 	timer := time.NewTicker(digestInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
@@ -335,13 +339,28 @@
 			m.node.log.Failure("members", "not-received", "error", err)
 			continue
 		}
-		d, err := digest.Unmarshal(buffer[:size])
-		if err != nil {
-			m.node.log.Failure("members", "unreadable-digest", "bytes", size, "error", err)
-			continue
-		}
-		m.handleDigest(d, m.node.now())
+		m.node.contain("digest", func() { m.receiveDatagram(buffer[:size]) })
+	}
+}
+
+// receiveDatagram handles one datagram of a peer.
+func (m *members) receiveDatagram(data []byte) {
+	d, err := digest.Unmarshal(data)
+	if err != nil {
+		m.node.log.Failure("members", "unreadable-digest", "bytes", len(data), "error", err)
+		return
 	}
+	m.handleDigest(d, m.node.now())
+}
+
+// applyDigest applies a digest to the core, and reports whether its sender was reachable before
+// and whether the digest was accepted.
+func (m *members) applyDigest(d *gossip.Digest, now time.Time) (update gossip.Update, holder gossip.HolderReport, wasReachable, accepted bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wasReachable = m.core.IsReachable(d.PeerAddress, d.Incarnation, now)
+	update, accepted = m.core.Receive(d, now)
+	return update, m.core.Holder(), wasReachable, accepted
 }
 
 // handleDigest applies a peer's digest to the tables of this node.
@@ -351,11 +370,7 @@
 	if d.Kind == usageOnlyKind {
 		return
 	}
-	m.mu.Lock()
-	wasReachable := m.core.IsReachable(d.PeerAddress, d.Incarnation, now)
-	update, accepted := m.core.Receive(d, now)
-	holder := m.core.Holder()
-	m.mu.Unlock()
+	update, holder, wasReachable, accepted := m.applyDigest(d, now)
 	if !accepted {
 		return
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	permits            *prometheus.CounterVec
 	serverLimits       *prometheus.GaugeVec
 	utilizationLimit   *prometheus.GaugeVec
+	panics             *prometheus.CounterVec
 	brittleServers     *prometheus.GaugeVec
 	tunnels            *prometheus.CounterVec
 	servedTunnels      prometheus.Gauge
@@ -85,6 +86,7 @@
 		serverLimits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_server_limit", Help: "Requests per second that a backend server takes from all VMs, as it has named them.",
 		}, []string{"server", "service"}),
+		panics: counter("panics_total", "Panics that were contained, by the part of the process.", "part"),
 		utilizationLimit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_utilization_limit_ratio", Help: "Utilization of a service's servers up to which answers are expected to begin in time, as the lease holder has learned it from late ones; 0 if it has learned none.",
 		}, []string{"service"}),
@@ -108,6 +110,6 @@
 		}, []string{"importance"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -240,13 +240,13 @@
 }
 
 func (n *Node) startLoops() {
-	n.loops.Go(func() { n.operatorFollower.run(n.ctx) })
-	n.loops.Go(func() { n.serverFollower.run(n.ctx) })
-	n.loops.Go(func() { n.members.run(n.ctx) })
-	n.loops.Go(func() { n.duties.run(n.ctx) })
-	n.loops.Go(func() { n.quarantiner.followStore(n.ctx) })
-	n.loops.Go(func() { n.quarantiner.writeStore(n.ctx) })
-	n.loops.Go(func() { n.sweep(n.ctx) })
+	n.runLoop(n.ctx, "document", n.operatorFollower.run)
+	n.runLoop(n.ctx, "servers", n.serverFollower.run)
+	n.runLoop(n.ctx, "members", n.members.run)
+	n.runLoop(n.ctx, "duties", n.duties.run)
+	n.runLoop(n.ctx, "contents", n.quarantiner.followStore)
+	n.runLoop(n.ctx, "contents", n.quarantiner.writeStore)
+	n.runLoop(n.ctx, "sweep", n.sweep)
 }
 
 // serverReadPause batches the entries of servers that change one after another,
