settings: a gateway starts with settings of a later version

Cause: a process ended at a setting that it doesn't know.

The gateway logs such keys (settings-ignored) and starts; missing or malformed values still end it, and `coltsfootctl settings check` still reports unknown keys. Builds before this one end at them as before: an upgrade from those needs settings without new keys first.

--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -42,7 +42,8 @@
 
 func runCommand(path string) error {
 	var settings Settings
-	if err := settings.Schema().Load(path); err != nil {
+	unknown, err := settings.Schema().LoadKnown(path)
+	if err != nil {
 		return &app.ExitError{Code: app.ExitUsage, Err: err}
 	}
 	setMemoryLimit(&settings)
@@ -52,6 +53,7 @@
 	if err != nil {
 		return &app.ExitError{Code: app.ExitFailed, Err: err}
 	}
+	n.logUnknownSettings(unknown)
 	file := newSettingsFile(path)
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
@@ -111,9 +113,19 @@
 
 func reload(n *Node, path string) {
 	var settings Settings
-	if err := settings.Schema().Load(path); err != nil {
+	unknown, err := settings.Schema().LoadKnown(path)
+	if err != nil {
 		n.log.Failure("gateway", "settings-unreadable", "error", err)
 		return
 	}
+	n.logUnknownSettings(unknown)
 	n.Reload(settings)
 }
+
+// logUnknownSettings logs the findings about settings of a later version, which this process
+// ignores: settings are written for the newest version while VMs are upgraded one by one.
+func (n *Node) logUnknownSettings(unknown error) {
+	if unknown != nil {
+		n.log.Failure("gateway", "settings-ignored", "findings", unknown)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -190,25 +190,39 @@
 // findings as one error.
 func (s *Schema) Load(path string) error {
 	var found findings.List
+	s.load(path, &found, &found)
+	return found.Err()
+}
+
+// LoadKnown is Load for a process that may be of an older version than its settings: keys that
+// the schema does not have are no error. It returns the findings about them as unknown.
+func (s *Schema) LoadKnown(path string) (unknown, err error) {
+	var found, ignored findings.List
+	s.load(path, &found, &ignored)
+	return ignored.Err(), found.Err()
+}
+
+// load adds the findings about keys that the schema does not have to unknown, and all others to
+// found.
+func (s *Schema) load(path string, found, unknown *findings.List) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		found.Addf(path, "%v", err)
-		return found.Err()
+		return
 	}
 	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, data)
 	if err != nil {
 		found.Addf(path, "%v", err)
-		return found.Err()
+		return
 	}
 	lines := lineNumbers(string(data))
-	s.checkUnknown(path, file, lines, &found)
+	s.checkKeys(path, file, lines, found, unknown)
 	for i := range s.Fields {
-		s.Fields[i].load(path, file, lines, &found)
+		s.Fields[i].load(path, file, lines, found)
 	}
 	for _, check := range s.checks {
-		check(&found)
+		check(found)
 	}
-	return found.Err()
 }
 
 type sectionKey struct{ section, key string }
@@ -231,9 +245,9 @@
 	return lines
 }
 
-// checkUnknown adds a finding for each unknown key and for each key that is set
-// more than once.
-func (s *Schema) checkUnknown(path string, file *ini.File, lines map[sectionKey]int, found *findings.List) {
+// checkKeys adds a finding for each key that the schema does not have to unknown, and for each
+// key that is set more than once to found.
+func (s *Schema) checkKeys(path string, file *ini.File, lines map[sectionKey]int, found, unknown *findings.List) {
 	known := map[sectionKey]bool{}
 	for _, f := range s.Fields {
 		known[sectionKey{f.Section, f.Key}] = true
@@ -245,7 +259,7 @@
 		}
 		for _, key := range section.Keys() {
 			if !known[sectionKey{name, key.Name()}] {
-				found.Addf(location(path, name, key.Name(), lines), "is not a setting of %s", s.Name)
+				unknown.Addf(location(path, name, key.Name(), lines), "is not a setting of %s", s.Name)
 			}
 			if len(key.ValueWithShadows()) > 1 {
 				found.Addf(location(path, name, key.Name(), lines), "is set more than once")
