gateway: a request counts once in its workspace's usage

Cause: usage was counted for each server that began a request, so that a request that was answered with a failure and sent to another server counted twice.

Change: a request counts in the window in which a server first began it.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -98,10 +98,11 @@
 	return outcomeAnswered
 }
 
-// countUsage counts the request in its workspace's usage, in the current usage
-// window.
+// countUsage counts the request in its workspace's usage, in the usage window in which a server
+// has first begun it. Further servers that begin the same request don't count.
 func (q *request) countUsage(now time.Time) {
-	if q.workspace != nil {
+	if q.workspace != nil && !q.isCounted {
+		q.isCounted = true
 		q.node.usage.CountRequest(q.node.duties.windowOf(now), q.workspace.Name)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,6 +62,8 @@
 	trail      string
 	// progressAt is the time of the last event forwarded, or of the request's arrival.
 	progressAt time.Time
+	// isCounted is set once the request is counted in its workspace's usage.
+	isCounted bool
 	// moves counts the attempts that were given up for a better one.
 	moves int
 	// room is set while the request waits for room at limited servers.
