gateway: a VM that was suspended gives up its lease

Found by looking for what went wrong at similar systems: leases are measured by the monotonic clock, which stands still while a VM is suspended. A holder that goes on after five seconds took its lease for valid until its next renewal, and its orders and reports were stopped only by their fencing tokens, which not all receivers check.

Each question for the token compares the clock that counts suspensions with the monotonic one; if it has run ahead by 50 ms or more, the lease is given up and the log read before the next claim. What remains possible: a suspension between that question and the call's departure; the platform's fences and the states ordered, not changes, cover that.

TestSuspendedHolderActsNoMore.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -46,8 +46,9 @@
 type duties struct {
 	node *Node
 
-	mu      sync.Mutex
-	machine *singleton.Machine
+	mu         sync.Mutex
+	machine    *singleton.Machine
+	suspension *suspensionWatch
 
 	// The fields below are used only by the goroutine of run.
 	reported    map[int64]bool
@@ -62,6 +63,7 @@
 		machine:     singleton.NewMachine(cfg, n.settings.VM, n.incarnation, n.now()),
 		reported:    map[int64]bool{},
 		attemptedAt: map[int64]time.Time{},
+		suspension:  newSuspensionWatch(n.now()),
 		orderer:     newOrderer(n),
 	}
 }
@@ -76,10 +78,23 @@
 func (d *duties) leaseState(now time.Time) (token uint64, end storelog.Position, holds bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	token, holds = d.machine.FencingToken(now)
+	token, holds = d.fencingToken(now)
 	return token, d.machine.State().End, holds
 }
 
+// fencingToken returns the token under which this node may act, and false if it may not. A
+// node that was suspended gives its lease up. The caller must hold mu.
+func (d *duties) fencingToken(now time.Time) (token uint64, ok bool) {
+	suspended := d.suspension.check(now)
+	token, ok = d.machine.FencingToken(now)
+	if !ok || suspended == 0 {
+		return token, ok
+	}
+	d.machine.FencingTokenRejected(now)
+	d.node.log.Failure("duties", "suspended", "for", suspended, "fence", token)
+	return token, false
+}
+
 func (d *duties) recordHolder(report singleton.HolderReport, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -135,7 +150,7 @@
 func (d *duties) ownHolder() (platform.Holder, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	token, ok := d.machine.FencingToken(d.node.now())
+	token, ok := d.fencingToken(d.node.now())
 	return platform.Holder{VM: d.node.settings.VM, FencingToken: token}, ok
 }
 
