digest: fields and kinds of a later release are ignored

Cause: Unmarshal was said to ignore unknown fields, but took each unknown field for a nested list of numbers: one of text or bytes in a digest of a later release made an older build drop the whole digest, so that VMs of two releases would not have known of each other's load, quotas and lease holder. A later text in a usage count replaced the workspace's name, and a digest of an unknown kind was taken for a hub's total of all VMs.

TestDigestOfLaterRelease (before: "field 13: mismatching end group marker"), TestDigestOfUnknownKindIsIgnored.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -378,7 +378,8 @@
 // the update in it, with an empty key if there is none, and whether the digest
 // was applied.
 func (c *Core) Receive(d *Digest, now time.Time) (Update, bool) {
-	if d.VM == c.self.VM || d.PeerAddress == c.self.PeerAddress {
+	// What a kind of a later release covers is not known.
+	if d.VM == c.self.VM || d.PeerAddress == c.self.PeerAddress || d.Kind < Own || d.Kind > AllVMs {
 		return Update{}, false
 	}
 	c.AddPeer(d.Identity, now)
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -292,6 +292,20 @@
 	}
 }
 
+// TestDigestOfUnknownKindIsIgnored: a kind of a later release is not taken for the total of all
+// VMs.
+func TestDigestOfUnknownKindIsIgnored(t *testing.T) {
+	c := New(DefaultConfig, Identity{VM: "a", PeerAddress: "pa", AvailabilityZone: "z"})
+	d := Digest{Kind: AllVMs + 1, Sequence: 1, Count: 50, Loads: []Load{{Server: 1, Running: 7}}}
+	d.VM, d.PeerAddress, d.Incarnation = "b", "pb", 3
+	if update, ok := c.Receive(&d, startTime); ok || update.Key != "" {
+		t.Errorf("a digest of an unknown kind was applied as %q", update.Key)
+	}
+	if !c.IsMesh(startTime) {
+		t.Error("its number of VMs counts")
+	}
+}
+
 // TestStaleDigestsAreDropped checks that repeated and reordered digests are
 // dropped, and that a new incarnation restarts the sequence.
 func TestStaleDigestsAreDropped(t *testing.T) {
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -248,7 +248,8 @@
 	return nil
 }
 
-// Unmarshal decodes a digest. Unknown fields are ignored.
+// Unmarshal decodes a digest. Fields that it does not know are ignored, as the sender may be of
+// a later release.
 func Unmarshal(b []byte) (*gossip.Digest, error) {
 	d := &gossip.Digest{}
 	var nestedErr error
@@ -285,7 +286,7 @@
 			d.Kind = gossip.Kind(clamp(v))
 		case fieldCount:
 			d.Count = int(clamp(v))
-		default:
+		case fieldMember, fieldContent, fieldWork, fieldLoad, fieldQuota, fieldMove, fieldLimit, fieldBrittle, fieldUsage:
 			nestedErr = errors.CombineErrors(nestedErr, unmarshalNested(d, num, bytes))
 		}
 	})
@@ -329,6 +330,9 @@
 	return true
 }
 
+// usageWorkspace is the field of a usage count that holds the workspace's name.
+const usageWorkspace = 2
+
 // unmarshalNested decodes the nested message of field num and appends it to d.
 // Unknown fields are ignored.
 func unmarshalNested(d *gossip.Digest, num protowire.Number, bytes []byte) error {
@@ -351,7 +355,7 @@
 		if n >= 1 && int(n) < len(v) {
 			v[n] = x
 		}
-		if text != nil {
+		if n == usageWorkspace {
 			s = string(text)
 		}
 	})
--- /dev/null
+++ b/internal/protocol/digest/golden_test.go
@@ -0,0 +1,73 @@
+package digest
+
+import (
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
+)
+
+// newestRelease names the newest release whose digests other builds read.
+const newestRelease = "digest-5f3d562"
+
+// TestGoldenDigest: digests are exchanged by builds of different releases. A change of their
+// bytes must be one that the builds in use read; it gets a new golden file beside the old ones.
+func TestGoldenDigest(t *testing.T) {
+	goldie.New(t).Assert(t, newestRelease, []byte(hex.EncodeToString(Marshal(sampleDigest()))))
+}
+
+// TestDigestsOfEarlierReleases decodes the digests of all releases.
+func TestDigestsOfEarlierReleases(t *testing.T) {
+	files, err := filepath.Glob("testdata/digest-*.golden")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%d golden files, error %v", len(files), err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := hex.DecodeString(strings.TrimSpace(string(text)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Unmarshal(data)
+		if err != nil {
+			t.Errorf("%s: %v", file, err)
+			continue
+		}
+		if want := sampleDigest(); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %+v\nwant %+v", file, got, want)
+		}
+	}
+}
+
+// TestDigestOfLaterRelease: fields that this build does not know are ignored, whatever their
+// type.
+func TestDigestOfLaterRelease(t *testing.T) {
+	data := Marshal(sampleDigest())
+	data = protowire.AppendVarint(protowire.AppendTag(data, 900, protowire.VarintType), 7)
+	data = protowire.AppendBytes(protowire.AppendTag(data, 901, protowire.BytesType), []byte("later"))
+	usage := protowire.AppendVarint(protowire.AppendTag(nil, 1, protowire.VarintType), 358000001)
+	usage = protowire.AppendString(protowire.AppendTag(usage, usageWorkspace, protowire.BytesType), "w")
+	usage = protowire.AppendVarint(protowire.AppendTag(usage, 3, protowire.VarintType), 4)
+	usage = protowire.AppendString(protowire.AppendTag(usage, 9, protowire.BytesType), "later")
+	data = protowire.AppendBytes(protowire.AppendTag(data, fieldUsage, protowire.BytesType), usage)
+	data = protowire.AppendFixed64(protowire.AppendTag(data, 902, protowire.Fixed64Type), 7)
+	got, err := Unmarshal(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := sampleDigest()
+	want.Usage = append(want.Usage, gossip.Usage{Window: 358000001, Workspace: "w", Count: 4})
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v\nwant %+v", got, want)
+	}
+}
