gateway: a pause of the process is not taken for a suspension of its VM

Cause: the check for suspensions compared the clock that counts them with a time that its caller had read before. While other threads or processes ran in between (a VM of 0.192 cores may stand still for a tenth of a second) the difference looked like a suspension, and the holder would have given up its lease.

The monotonic clock is read before and after the other one, and only what can't be explained by a pause counts.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -63,7 +63,7 @@
 		machine:     singleton.NewMachine(cfg, n.settings.VM, n.incarnation, n.now()),
 		reported:    map[int64]bool{},
 		attemptedAt: map[int64]time.Time{},
-		suspension:  newSuspensionWatch(n.now()),
+		suspension:  newSuspensionWatch(),
 		orderer:     newOrderer(n),
 	}
 }
@@ -85,7 +85,7 @@
 // fencingToken returns the token under which this node may act, and false if it may not. A
 // node that was suspended gives its lease up. The caller must hold mu.
 func (d *duties) fencingToken(now time.Time) (token uint64, ok bool) {
-	suspended := d.suspension.check(now)
+	suspended := d.suspension.check()
 	token, ok = d.machine.FencingToken(now)
 	if !ok || suspended == 0 {
 		return token, ok
