cost: the rates of servers have a package of their own

Cause: placement.DefaultCost is one constant for every service and engine, read by the choice, orders and lateness. What learns these rates needs an interface that placement and the admission of requests can predict with. Change: package cost with Rates, Estimate, Observation and a Model that knows the prior only; the three readers ask the model. No behaviour changes. Measured: go test ./internal/coordination/placement ./internal/coordination/cost

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -10,6 +10,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 )
 
 // Load is the known work on a server.
@@ -64,37 +66,6 @@
 	PrefixHash uint64
 }
 
-// Cost models the time that work takes on an engine of ordinary speed.
-type Cost struct {
-	// PrefillTokensPerMilli is the number of prompt tokens computed per
-	// millisecond.
-	PrefillTokensPerMilli float64
-	// Step is the base time of one step of a batch; each running request adds
-	// StepPerRequest.
-	Step           time.Duration
-	StepPerRequest time.Duration
-	// CallTime is the usual service time of a call to a plain service.
-	CallTime time.Duration
-}
-
-// DefaultCost matches the platform's description of its engines.
-var DefaultCost = Cost{
-	PrefillTokensPerMilli: 45,
-	Step:                  3 * time.Millisecond,
-	StepPerRequest:        120 * time.Microsecond,
-	CallTime:              30 * time.Millisecond,
-}
-
-// typicalBatch is the assumed number of answers that share the time of a step.
-const typicalBatch = 8
-
-// Work returns the engine time of a request in a batch of typical size, in
-// milliseconds.
-func (c Cost) Work(uncachedTokens float64, answerTokens int) float64 {
-	perToken := toMillis(c.Step)/typicalBatch + toMillis(c.StepPerRequest)
-	return uncachedTokens/c.PrefillTokensPerMilli + float64(answerTokens)*perToken
-}
-
 const (
 	// homeCachedShare is the share of the shared tokens assumed to be cached on
 	// the prefix's home server if this node has not sent the prefix there itself.
@@ -140,13 +111,13 @@
 // servers get none. If there are no healthy servers, those on trial are used for
 // all requests, and ejected ones if there is no other, as any server is better
 // than none.
-func Choose(cost Cost, req Request, candidates []Candidate, random *rand.Rand) Choice {
+func Choose(rates cost.Rates, req Request, candidates []Candidate, random *rand.Rand) Choice {
 	for _, eligible := range []func(c *Candidate) bool{
 		func(c *Candidate) bool { return c.Weight >= 1 || c.Weight > 0 && random.Float64() < c.Weight },
 		func(c *Candidate) bool { return c.Weight > 0 },
 		func(*Candidate) bool { return true },
 	} {
-		if best := lowestScore(cost, req, candidates, eligible, random); best.Index >= 0 {
+		if best := lowestScore(rates, req, candidates, eligible, random); best.Index >= 0 {
 			return best
 		}
 	}
@@ -155,7 +126,7 @@
 
 // lowestScore returns the candidate with the lowest score among those that are
 // eligible.
-func lowestScore(cost Cost, req Request, candidates []Candidate, eligible func(c *Candidate) bool, random *rand.Rand) Choice {
+func lowestScore(rates cost.Rates, req Request, candidates []Candidate, eligible func(c *Candidate) bool, random *rand.Rand) Choice {
 	home := homeIndex(req.PrefixHash, candidates)
 	best, lowest := Choice{Index: -1}, math.Inf(1)
 	for i := range candidates {
@@ -163,7 +134,7 @@
 		if !eligible(c) {
 			continue
 		}
-		choice, score := weigh(cost, req, c, i == home)
+		choice, score := weigh(rates, req, c, i == home)
 		score += random.Float64() * maxJitterMillis
 		if score < lowest {
 			choice.Index = i
@@ -205,19 +176,19 @@
 // weigh predicts the times of a request on a candidate and returns them with
 // its score in milliseconds. isHome is true for the home server of the request's
 // prefix.
-func weigh(cost Cost, req Request, c *Candidate, isHome bool) (Choice, float64) {
+func weigh(rates cost.Rates, req Request, c *Candidate, isHome bool) (Choice, float64) {
 	if req.PromptTokens == 0 {
-		return weighCall(cost, c)
+		return weighCall(rates, c)
 	}
 	cachedTokens := c.CachedTokens
 	if isHome {
 		cachedTokens = max(cachedTokens, homeCachedShare*float64(req.SharedTokens))
 	}
 	uncachedTokens := max(float64(req.PromptTokens)-cachedTokens, 1)
-	step := cost.stepTime(c)
-	wait := c.Load.PrefillTokens/cost.PrefillTokensPerMilli + 2*step + cost.slotWait(c)
-	firstToken := (wait + uncachedTokens/cost.PrefillTokensPerMilli) * max(c.Slowdown, 1)
-	score := firstToken + recomputeWeight*uncachedTokens/cost.PrefillTokensPerMilli + float64(min(req.AnswerTokens, 400))*0.1*step*max(c.Slowdown, 1)
+	step := stepTime(rates, c)
+	wait := rates.PrefillMillis(c.Load.PrefillTokens) + 2*step + slotWait(rates, c)
+	firstToken := (wait + rates.PrefillMillis(uncachedTokens)) * max(c.Slowdown, 1)
+	score := firstToken + recomputeWeight*rates.PrefillMillis(uncachedTokens) + float64(min(req.AnswerTokens, 400))*0.1*step*max(c.Slowdown, 1)
 	if memoryLimit := MaxMemoryShare * float64(c.MemoryTokens); memoryLimit > 0 {
 		if excess := c.Load.MemoryTokens + float64(req.PromptTokens+req.AnswerTokens) - memoryLimit; excess > 0 {
 			score += memoryOverflowCostMillis * excess / memoryLimit
@@ -228,8 +199,8 @@
 	}
 	return Choice{
 		FirstToken: fromMillis(firstToken), UncachedTokens: uncachedTokens,
-		MinFirstToken: fromMillis(wait + max(float64(req.PromptTokens-req.SharedTokens), 1)/cost.PrefillTokensPerMilli),
-		MaxFirstToken: fromMillis(wait + float64(req.PromptTokens)/cost.PrefillTokensPerMilli),
+		MinFirstToken: fromMillis(wait + rates.PrefillMillis(max(float64(req.PromptTokens-req.SharedTokens), 1))),
+		MaxFirstToken: fromMillis(wait + rates.PrefillMillis(float64(req.PromptTokens))),
 	}, score
 }
 
@@ -248,31 +219,31 @@
 }
 
 // stepTime returns the time of one step of a server's batch, in milliseconds.
-func (c Cost) stepTime(s *Candidate) float64 {
+func stepTime(rates cost.Rates, s *Candidate) float64 {
 	running := s.Load.Running
 	if s.Slots > 0 {
 		running = min(running, float64(s.Slots))
 	}
-	return toMillis(c.Step) + toMillis(c.StepPerRequest)*running
+	return rates.StepMillis(running)
 }
 
 // slotWait returns the time until a server has a free slot for one more request,
 // in milliseconds. Slots become free one after another as answers end.
-func (c Cost) slotWait(s *Candidate) float64 {
+func slotWait(rates cost.Rates, s *Candidate) float64 {
 	excess := s.Load.Running + 1 - float64(s.Slots)
 	if s.Slots <= 0 || excess <= 0 {
 		return 0
 	}
-	return excess * typicalAnswerTokens * c.stepTime(s) / float64(s.Slots)
+	return excess * typicalAnswerTokens * stepTime(rates, s) / float64(s.Slots)
 }
 
 // weighCall predicts the time of a call on a plain service's server and returns it
 // with the server's score in milliseconds.
-func weighCall(cost Cost, c *Candidate) (Choice, float64) {
+func weighCall(rates cost.Rates, c *Candidate) (Choice, float64) {
 	slots := float64(max(c.Slots, 1))
-	wait := max(c.Load.Running+1-slots, 0) / slots * toMillis(cost.CallTime)
-	loadCost := c.Load.Running / slots * toMillis(cost.CallTime) * 0.3
-	ordinaryTime := wait + toMillis(cost.CallTime)
+	wait := max(c.Load.Running+1-slots, 0) / slots * cost.Millis(rates.CallTime)
+	loadCost := c.Load.Running / slots * cost.Millis(rates.CallTime) * 0.3
+	ordinaryTime := wait + cost.Millis(rates.CallTime)
 	answerTime := ordinaryTime * max(c.Slowdown, 1)
 	score := answerTime + loadCost
 	if !c.SameZone {
@@ -281,8 +252,6 @@
 	return Choice{FirstToken: fromMillis(answerTime), MinFirstToken: fromMillis(ordinaryTime), MaxFirstToken: fromMillis(ordinaryTime)}, score
 }
 
-func toMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 func fromMillis(ms float64) time.Duration {
 	return time.Duration(min(ms, 1e9) * float64(time.Millisecond))
 }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -4,8 +4,12 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 )
 
+var ordinaryRates = cost.NewModel().Rates("", time.Time{})
+
 func newCandidates(n int) []Candidate {
 	candidates := make([]Candidate, n)
 	for i := range candidates {
@@ -22,7 +26,7 @@
 	candidates, r := newCandidates(12), newRandom()
 	used := map[int]int{}
 	for range 12 {
-		c := Choose(DefaultCost, Request{PromptTokens: 30_000, AnswerTokens: 300}, candidates, r)
+		c := Choose(ordinaryRates, Request{PromptTokens: 30_000, AnswerTokens: 300}, candidates, r)
 		used[c.Index]++
 		candidates[c.Index].Load.Add(Load{PrefillTokens: c.UncachedTokens, Running: 1, MemoryTokens: 30_300})
 	}
@@ -40,7 +44,7 @@
 	for session := uint64(1); session <= 40; session++ {
 		engines := map[int]bool{}
 		for vm := range 8 {
-			c := Choose(DefaultCost, Request{PromptTokens: 12_000, AnswerTokens: 300, SharedTokens: 5_400, PrefixHash: mix(session)}, candidates, rand.New(rand.NewPCG(uint64(vm), 3)))
+			c := Choose(ordinaryRates, Request{PromptTokens: 12_000, AnswerTokens: 300, SharedTokens: 5_400, PrefixHash: mix(session)}, candidates, rand.New(rand.NewPCG(uint64(vm), 3)))
 			engines[c.Index] = true
 		}
 		if len(engines) > 1 {
@@ -55,7 +59,7 @@
 	candidates, r := newCandidates(12), newRandom()
 	used := map[int]bool{}
 	for range 20 {
-		c := Choose(DefaultCost, Request{PromptTokens: 12_000, AnswerTokens: 300, SharedTokens: 5_400, PrefixHash: 7}, candidates, r)
+		c := Choose(ordinaryRates, Request{PromptTokens: 12_000, AnswerTokens: 300, SharedTokens: 5_400, PrefixHash: 7}, candidates, r)
 		used[c.Index] = true
 		candidates[c.Index].Load.Add(Load{PrefillTokens: c.UncachedTokens, Running: 1, MemoryTokens: 12_300})
 	}
@@ -70,7 +74,7 @@
 	candidates := newCandidates(12)
 	used := map[int]int{}
 	for vm := range 120 {
-		c := Choose(DefaultCost, Request{PromptTokens: 600, AnswerTokens: 300}, candidates, rand.New(rand.NewPCG(uint64(vm), 9)))
+		c := Choose(ordinaryRates, Request{PromptTokens: 600, AnswerTokens: 300}, candidates, rand.New(rand.NewPCG(uint64(vm), 9)))
 		used[c.Index]++
 	}
 	for i, n := range used {
@@ -87,7 +91,7 @@
 	candidates[0].Load.MemoryTokens = 390_000
 	candidates[1].Load = Load{Running: 10, MemoryTokens: 50_000, PrefillTokens: 5_000}
 	for range 50 {
-		if c := Choose(DefaultCost, Request{PromptTokens: 20_000, AnswerTokens: 300}, candidates, r); c.Index != 1 {
+		if c := Choose(ordinaryRates, Request{PromptTokens: 20_000, AnswerTokens: 300}, candidates, r); c.Index != 1 {
 			t.Fatal("chose the engine with full memory")
 		}
 	}
@@ -97,11 +101,11 @@
 	candidates, r := newCandidates(3), newRandom()
 	candidates[0].Weight, candidates[1].Weight = 0, 0
 	for range 20 {
-		if c := Choose(DefaultCost, Request{}, candidates, r); c.Index != 2 {
+		if c := Choose(ordinaryRates, Request{}, candidates, r); c.Index != 2 {
 			t.Fatalf("chose server %d, want 2", c.Index)
 		}
 	}
-	if c := Choose(DefaultCost, Request{}, nil, r); c.Index != -1 {
+	if c := Choose(ordinaryRates, Request{}, nil, r); c.Index != -1 {
 		t.Fatalf("chose server %d from an empty list", c.Index)
 	}
 }
@@ -116,7 +120,7 @@
 			candidates[i].Weight = weight
 		}
 		for range 50 {
-			if c := Choose(DefaultCost, Request{}, candidates, r); c.Index < 0 {
+			if c := Choose(ordinaryRates, Request{}, candidates, r); c.Index < 0 {
 				t.Fatalf("no server chosen at weight %v", weight)
 			}
 		}
@@ -128,7 +132,7 @@
 	candidates[0].Slowdown = 5
 	slowCount := 0
 	for range 100 {
-		if Choose(DefaultCost, Request{PromptTokens: 2000, AnswerTokens: 300}, candidates, r).Index == 0 {
+		if Choose(ordinaryRates, Request{PromptTokens: 2000, AnswerTokens: 300}, candidates, r).Index == 0 {
 			slowCount++
 		}
 	}
@@ -165,7 +169,7 @@
 	home := homeIndex(req.PrefixHash, candidates)
 	candidates[home].Load = Load{Running: 16}
 	for range 20 {
-		if c := Choose(DefaultCost, req, candidates, r); c.Index == home {
+		if c := Choose(ordinaryRates, req, candidates, r); c.Index == home {
 			t.Fatal("the request waits for a slot behind four others")
 		}
 	}
@@ -176,7 +180,7 @@
 // time counts as that of an engine of ordinary speed.
 func TestCacheMissIsNotMeasuredAsSlowdown(t *testing.T) {
 	candidates, r := newCandidates(4), newRandom()
-	c := Choose(DefaultCost, Request{PromptTokens: 12_000, AnswerTokens: 300, SharedTokens: 5_400, PrefixHash: 7}, candidates, r)
+	c := Choose(ordinaryRates, Request{PromptTokens: 12_000, AnswerTokens: 300, SharedTokens: 5_400, PrefixHash: 7}, candidates, r)
 	for _, measured := range []time.Duration{c.MinFirstToken, c.FirstToken, c.MaxFirstToken} {
 		if ratio := c.Ratio(measured); ratio != 1 {
 			t.Errorf("ratio of %v within [%v, %v] is %v, want 1", measured, c.MinFirstToken, c.MaxFirstToken, ratio)
@@ -186,7 +190,7 @@
 		t.Errorf("ratio of three times the upper bound is %v, want 3", ratio)
 	}
 	candidates[c.Index].Slowdown = 2
-	if again := Choose(DefaultCost, Request{PromptTokens: 12_000}, candidates[c.Index:c.Index+1], r); again.Ratio(2*again.MaxFirstToken) != 2 {
+	if again := Choose(ordinaryRates, Request{PromptTokens: 12_000}, candidates[c.Index:c.Index+1], r); again.Ratio(2*again.MaxFirstToken) != 2 {
 		t.Error("the bounds include the server's known slowdown")
 	}
 }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/announcements"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
@@ -117,6 +118,8 @@
 	candidates []placement.Candidate
 	totals     map[uint32]placement.Load
 	health     *health.Table
+	// costs predicts what requests cost.
+	costs *cost.Model
 	// announcements holds what servers have stated in their answers.
 	announcements *announcements.Table
 	// limits holds the limits that servers have named.
@@ -154,6 +157,7 @@
 		peerLoads: map[string]peerLoad{},
 		totals:    map[uint32]placement.Load{},
 		health:    h,
+		costs:     cost.NewModel(),
 
 		announcements: announcements.NewTable(),
 		limits:        serverlimit.NewTable(newRandom()),
@@ -589,7 +593,7 @@
 		c.MemoryTokens = memory
 		t.candidates = append(t.candidates, c)
 	}
-	choice := placement.Choose(placement.DefaultCost, query.request, t.candidates, random)
+	choice := placement.Choose(t.costs.Rates(query.service, now), query.request, t.candidates, random)
 	if choice.Index < 0 {
 		return nil
 	}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
-	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
 )
 
 // workMeter sums what the orders of servers follow, for this node and its peers: for each
@@ -79,8 +79,8 @@
 // and those whose own prompt takes too long.
 func (q *request) countFirstToken(now time.Time) {
 	target := q.route.LatencyTarget
-	prefill := time.Duration(q.uncachedTokens / placement.DefaultCost.PrefillTokensPerMilli * float64(time.Millisecond))
-	if target <= 0 || q.sentCount != 1 || q.moves > 0 || float64(prefill) > maxPrefillShare*float64(target) {
+	prefill := q.node.backends.costs.Rates(q.service, now).PrefillMillis(q.uncachedTokens)
+	if target <= 0 || q.sentCount != 1 || q.moves > 0 || prefill > maxPrefillShare*cost.Millis(target) {
 		return
 	}
 	q.node.work.add(answeredTotal(q.service), 1)
