report: the burn page is the same on every kind of processor

Cause: the plots had a second y axis without series. Change: that axis is hidden. The golden page loses its elements, which were drawn nine quintillion pixels above the plot, and nothing else. Measured: go test ./internal/report failed before on arm64, passes now.

--- a/internal/report/burn.go
+++ b/internal/report/burn.go
@@ -78,7 +78,9 @@
 		Height: plotHeight,
 		XAxis:  chart.XAxis{Name: "minutes ago", ValueFormatter: formatMinutesAgo},
 		YAxis:  chart.YAxis{Name: "burn rate", Range: &chart.ContinuousRange{Min: 0, Max: top}},
-		Series: []chart.Series{chart.ContinuousSeries{Name: s.Service, XValues: xs, YValues: ys}},
+		// Without series of its own its range is empty, and its ticks have no position.
+		YAxisSecondary: chart.HideYAxis(),
+		Series:         []chart.Series{chart.ContinuousSeries{Name: s.Service, XValues: xs, YValues: ys}},
 	}
 	var svg bytes.Buffer
 	if err := graph.Render(chart.SVG, &svg); err != nil {
