strictjson: reading JSON with all findings is a package of its own

Cause: the check of a platform's configuration needs the same reader of all findings with field paths that the product's document has. Change: internal/state/document/strict.go becomes internal/strictjson, with an option for readers that must accept unknown keys and nulls. No behaviour changes. Measured: go test ./internal/state/document ./internal/ctl

--- a/internal/state/document/decode.go
+++ b/internal/state/document/decode.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"coltsfootpath.example/coltsfootpath/internal/findings"
+	"coltsfootpath.example/coltsfootpath/internal/strictjson"
 )
 
 // MaxBytes bounds the size of an encoded document.
@@ -20,7 +21,7 @@
 		found.Addf("document", "is %d bytes long, at most %d are allowed", len(data), MaxBytes)
 		return nil, found.Err()
 	}
-	accepted := decodeStrict(data, reflect.TypeFor[Document](), &found)
+	accepted := strictjson.Decode(data, reflect.TypeFor[Document](), strictjson.Options{Root: "document"}, &found)
 	if accepted == nil {
 		return nil, found.Err()
 	}
--- a/internal/state/document/decode_test.go
+++ b/internal/state/document/decode_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"coltsfootpath.example/coltsfootpath/internal/findings"
+	"coltsfootpath.example/coltsfootpath/internal/strictjson"
 )
 
 func demoDocument(t interface{ Fatal(...any) }) string {
@@ -126,7 +127,7 @@
 	switch v := value.(type) {
 	case map[string]any:
 		for _, key := range sortedKeys(v) {
-			at := joinPath(path, key)
+			at := strictjson.JoinPath(path, key)
 			if rapid.IntRange(0, 9).Draw(t, at) == 0 {
 				v[key] = nil
 				*paths = append(*paths, at)
@@ -136,7 +137,7 @@
 		}
 		if rapid.IntRange(0, 9).Draw(t, path+" unknown") == 0 {
 			v["zz"] = 1
-			*paths = append(*paths, joinPath(path, "zz"))
+			*paths = append(*paths, strictjson.JoinPath(path, "zz"))
 		}
 	case []any:
 		for i := range v {
--- a/internal/state/document/fields.go
+++ b/internal/state/document/fields.go
@@ -1,6 +1,10 @@
 package document
 
-import "reflect"
+import (
+	"reflect"
+
+	"coltsfootpath.example/coltsfootpath/internal/strictjson"
+)
 
 // FieldDoc is the reference documentation of one field of the document.
 type FieldDoc struct {
@@ -22,17 +26,17 @@
 	var out []FieldDoc
 	for i := range t.NumField() {
 		f := t.Field(i)
-		path := joinPath(parent, jsonKey(f))
+		path := strictjson.JoinPath(parent, strictjson.Key(f))
 		inner := f.Type
 		if inner.Kind() == reflect.Slice {
 			path += "[]"
 			inner = inner.Elem()
 		}
 		out = append(out, FieldDoc{
-			Path: path, Type: typeName(inner), Unit: f.Tag.Get("unit"),
-			Default: f.Tag.Get("default"), Bounds: boundsText(f), Help: f.Tag.Get("help"),
+			Path: path, Type: strictjson.TypeName(inner), Unit: f.Tag.Get("unit"),
+			Default: f.Tag.Get("default"), Bounds: strictjson.BoundsText(f), Help: f.Tag.Get("help"),
 		})
-		if isObject(inner) {
+		if strictjson.IsObject(inner) {
 			out = append(out, fieldsOf(inner, path)...)
 		}
 	}
--- a/internal/state/document/strict.go
+++ b/internal/strictjson/strictjson.go
@@ -1,4 +1,6 @@
-package document
+// Package strictjson reads JSON as a Go type and collects everything that does not match it,
+// each with its field path, instead of ending at the first problem.
+package strictjson
 
 import (
 	"bytes"
@@ -14,25 +16,37 @@
 	"coltsfootpath.example/coltsfootpath/internal/findings"
 )
 
-// decodeStrict reads data as a value of type t and adds a finding for every
-// unknown or repeated key and every value of the wrong type. It returns the JSON
-// of the values that match t, so that later checks can continue after a finding,
-// or nil if data is not valid JSON.
-func decodeStrict(data []byte, t reflect.Type, found *findings.List) []byte {
+// Options select what counts as a problem.
+type Options struct {
+	// Root is the field path of the whole input in findings.
+	Root string
+	// Lenient accepts what readers of later and earlier formats must accept: unknown keys, and
+	// null for a field that is not given.
+	Lenient bool
+}
+
+// Decode reads data as a value of type t and adds a finding for every repeated key and every
+// value of the wrong type, and, unless it is lenient, for every unknown key. It returns the
+// JSON of the values that match t, so that later checks can continue after a finding, or nil
+// if data is not valid JSON.
+func Decode(data []byte, t reflect.Type, opts Options, found *findings.List) []byte {
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
-	r := &strictReader{dec: dec, found: found}
-	value, _, err := r.readValue(t, "")
+	r := &strictReader{dec: dec, opts: opts, found: found}
+	value, matches, err := r.readValue(t, "")
 	if err == nil {
 		err = r.expectEnd()
 	}
 	if err != nil {
-		found.Addf("document", "%v (byte %d)", err, dec.InputOffset())
+		found.Addf(opts.Root, "%v (byte %d)", err, dec.InputOffset())
+		return nil
+	}
+	if opts.Lenient && !matches {
 		return nil
 	}
 	accepted, err := json.Marshal(value)
 	if err != nil {
-		found.Addf("document", "%v", err)
+		found.Addf(opts.Root, "%v", err)
 		return nil
 	}
 	return accepted
@@ -41,6 +55,7 @@
 // strictReader matches the tokens of an encoding/json decoder with a Go type.
 type strictReader struct {
 	dec   *json.Decoder
+	opts  Options
 	found *findings.List
 }
 
@@ -66,8 +81,16 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
 	switch {
-	case token == json.Delim('{') && isObject(t):
+	case token == nil && r.opts.Lenient && path != "":
+		return nil, true, nil
+	case token == json.Delim('{') && t.Kind() == reflect.Map:
+		value, err = r.readMap(t.Elem(), path)
+		return value, true, err
+	case token == json.Delim('{') && IsObject(t):
 		value, err = r.readObject(t, path)
 		return value, true, err
 	case token == json.Delim('[') && t.Kind() == reflect.Slice:
@@ -76,18 +99,19 @@
 	}
 	matches = r.decodesInto(token, t)
 	if !matches {
-		r.found.Addf(pathOrDocument(path), "must be %s, not %s", typeName(t), tokenName(token))
+		r.found.Addf(r.pathOrRoot(path), "must be %s, not %s", TypeName(t), tokenName(token))
 	}
 	return token, matches, r.skipRest(token)
 }
 
-func isObject(t reflect.Type) bool {
+// IsObject reports whether values of a type are objects with known keys.
+func IsObject(t reflect.Type) bool {
 	return t.Kind() == reflect.Struct && t != timeType
 }
 
 // decodesInto reports whether a scalar token decodes into a value of type t.
 func (r *strictReader) decodesInto(token json.Token, t reflect.Type) bool {
-	if _, composite := token.(json.Delim); composite || token == nil || isObject(t) || t.Kind() == reflect.Slice {
+	if _, composite := token.(json.Delim); composite || token == nil || IsObject(t) || t.Kind() == reflect.Slice {
 		return false
 	}
 	data, err := json.Marshal(token)
@@ -146,14 +170,16 @@
 			return nil, err
 		}
 		key, _ := token.(string)
-		at := joinPath(path, key)
+		at := JoinPath(path, key)
 		if seen[key] {
 			r.found.Addf(at, "appears twice")
 		}
 		seen[key] = true
 		field, known := fields[key]
 		if !known {
-			r.found.Addf(at, "is not a field of the document")
+			if !r.opts.Lenient {
+				r.found.Addf(at, "is not a field of the document")
+			}
 			if err := r.skipValue(); err != nil {
 				return nil, err
 			}
@@ -172,6 +198,31 @@
 	return out, err
 }
 
+// readMap reads an object with any keys.
+func (r *strictReader) readMap(elem reflect.Type, path string) (map[string]any, error) {
+	out := map[string]any{}
+	for r.dec.More() {
+		token, err := r.nextToken()
+		if err != nil {
+			return nil, err
+		}
+		key, _ := token.(string)
+		at := JoinPath(path, key)
+		if _, seen := out[key]; seen {
+			r.found.Addf(at, "appears twice")
+		}
+		value, matches, err := r.readValue(elem, at)
+		if err != nil {
+			return nil, err
+		}
+		if matches {
+			out[key] = value
+		}
+	}
+	_, err := r.nextToken()
+	return out, err
+}
+
 // skipValue skips the next value.
 func (r *strictReader) skipValue() error {
 	token, err := r.nextToken()
@@ -190,7 +241,7 @@
 	}
 	n, err := number.Float64()
 	if err != nil || n < low || n > high {
-		r.found.Addf(path, "must be %s, not %s", boundsText(field), number)
+		r.found.Addf(path, "must be %s, not %s", BoundsText(field), number)
 	}
 }
 
@@ -201,12 +252,13 @@
 	out := map[string]reflect.StructField{}
 	for i := range t.NumField() {
 		f := t.Field(i)
-		out[jsonKey(f)] = f
+		out[Key(f)] = f
 	}
 	return out
 }
 
-func jsonKey(f reflect.StructField) string {
+// Key returns the JSON key of a field.
+func Key(f reflect.StructField) string {
 	key, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 	return key
 }
@@ -217,28 +269,31 @@
 	return low, high, errLow == nil && errHigh == nil
 }
 
-func boundsText(f reflect.StructField) string {
+// BoundsText returns a field's bounds for people, empty if it has none.
+func BoundsText(f reflect.StructField) string {
 	if _, _, ok := numberBounds(f); ok {
 		return f.Tag.Get("min") + " to " + f.Tag.Get("max")
 	}
 	return f.Tag.Get("bounds")
 }
 
-func joinPath(path, key string) string {
+// JoinPath returns the path of a key within an object.
+func JoinPath(path, key string) string {
 	if path == "" {
 		return key
 	}
 	return path + "." + key
 }
 
-func pathOrDocument(path string) string {
+func (r *strictReader) pathOrRoot(path string) string {
 	if path == "" {
-		return "document"
+		return r.opts.Root
 	}
 	return path
 }
 
-func typeName(t reflect.Type) string {
+// TypeName returns the name of a type for people.
+func TypeName(t reflect.Type) string {
 	if t == timeType {
 		return "a time such as 2030-01-31T08:00:00Z"
 	}
