--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -63,7 +63,7 @@
 	flags.StringVar(&o.tokenFile, "token-file", "", "file with the admin token")
 	flags.StringVarP(&o.output, "output", "o", outputTable, "table or json")
 	flags.DurationVar(&o.timeout, "timeout", 15*time.Second, "timeout of calls to the coordinator")
-	cmd.AddCommand(documentCommand(o), moveCommand(o), nodeCommand(o), reportCommand(o), settingsCommand(o), statusCommand(o), contentCommand(o), explainCommand())
+	cmd.AddCommand(checkCommand(o), documentCommand(o), moveCommand(o), nodeCommand(o), reportCommand(o), settingsCommand(o), statusCommand(o), contentCommand(o), explainCommand())
 	return cmd
 }
 
--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -29,6 +29,29 @@
 	l.items = append(l.items, Finding{Path: path, Problem: fmt.Sprintf(format, args...)})
 }
 
+// AddNotCovered adds the candidates whose field paths no earlier finding covers, so that a
+// value of the wrong type is not also reported as missing.
+func (l *List) AddNotCovered(candidates []Finding) {
+	earlier := l.items
+	for _, f := range candidates {
+		if !isCovered(f.Path, earlier) {
+			l.items = append(l.items, f)
+		}
+	}
+}
+
+// isCovered reports whether path is the field path of one of the findings, or lies
+// within it.
+func isCovered(path string, earlier []Finding) bool {
+	for _, f := range earlier {
+		rest, ok := strings.CutPrefix(path, f.Path)
+		if ok && (rest == "" || rest[0] == '.' || rest[0] == '[') {
+			return true
+		}
+	}
+	return false
+}
+
 // Items returns the findings collected so far.
 func (l *List) Items() []Finding {
 	return l.items
--- a/internal/state/document/decode.go
+++ b/internal/state/document/decode.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"reflect"
-	"strings"
 
 	"coltsfootpath.example/coltsfootpath/internal/findings"
 	"coltsfootpath.example/coltsfootpath/internal/strictjson"
@@ -33,32 +32,9 @@
 	doc.SetDefaults()
 	var invalid findings.List
 	doc.validate(&invalid)
-	addFindingsNotCovered(&found, invalid.Items())
+	found.AddNotCovered(invalid.Items())
 	if err := found.Err(); err != nil {
 		return nil, err
 	}
 	return &doc, nil
 }
-
-// addFindingsNotCovered adds the candidates whose field paths no earlier finding
-// covers, so that a value of the wrong type is not also reported as missing.
-func addFindingsNotCovered(found *findings.List, candidates []findings.Finding) {
-	earlier := found.Items()
-	for _, f := range candidates {
-		if !isCovered(f.Path, earlier) {
-			found.Addf(f.Path, "%s", f.Problem)
-		}
-	}
-}
-
-// isCovered reports whether path is the field path of one of the findings, or lies
-// within it.
-func isCovered(path string, earlier []findings.Finding) bool {
-	for _, f := range earlier {
-		rest, ok := strings.CutPrefix(path, f.Path)
-		if ok && (rest == "" || rest[0] == '.' || rest[0] == '[') {
-			return true
-		}
-	}
-	return false
-}
