--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -79,13 +80,27 @@
 }
 
 // isPlatformConfiguration reports whether data looks like the configuration of an operator's
-// platform: it has a version and routes, which the operators' document has not.
+// platform, also if it ends too early: it has a version and routes, which the operators'
+// document has not.
 func isPlatformConfiguration(data []byte) bool {
-	var top map[string]json.RawMessage
-	if json.Unmarshal(data, &top) != nil {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	if opening, err := dec.Token(); err != nil || opening != json.Delim('{') {
 		return false
 	}
-	return top["version"] != nil || top["routes"] != nil
+	for dec.More() {
+		key, err := dec.Token()
+		if err != nil {
+			return false
+		}
+		if key == "version" || key == "routes" {
+			return true
+		}
+		var value json.RawMessage
+		if dec.Decode(&value) != nil {
+			return false
+		}
+	}
+	return false
 }
 
 func checkPlatform(data, activeData []byte) configcheck.Report {
--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -93,6 +93,9 @@
 			t.Errorf("%s: exit code %d, want %d and %q:\n%.300s", name, code, exitErrors, c.want, out)
 		}
 	}
+	if _, out := check(t, write(t, `{"version":1,"routes":[`)); !strings.Contains(string(out), "config ") {
+		t.Errorf("a configuration that ends too early is taken for the operators' document:\n%s", out)
+	}
 	if code, _ := check(t, filepath.Join(t.TempDir(), "absent.json")); code != exitErrors {
 		t.Errorf("exit code of an absent file is %d, want %d", code, exitErrors)
 	}
