Platform: decode zone evacuations and the coldness of servers

The operator's requests to evacuate a zone, the cold time and rate in a service's entry and the cold time in health answers were not read.

--- a/internal/state/deployment/deployment.go
+++ b/internal/state/deployment/deployment.go
@@ -68,6 +68,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
+	// ColdTime is the time for which a server is cold after its start, and ColdPerSecond the
+	// number of requests per second, from all VMs, that a cold server takes; 0 means no limit.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Model is nil for a plain service.
 	Model *Model
 	// Scaling is nil if the system does not order the service's servers.
@@ -184,14 +188,19 @@
 	// Leaving is true if the server is about to stop and must get no new requests.
 	Leaving     bool
 	Reclaimable bool
-	// ColdRemaining is the remaining time for which the server is slow after its
-	// start.
+	// ColdRemaining is the time, from the registration on, for which the server is slow and
+	// takes only some requests. It may become cold again at any moment.
 	ColdRemaining time.Duration
 	// StartedAtMillis is the server's start as a Unix time in milliseconds, 0 if
 	// unknown.
 	StartedAtMillis int64
 }
 
+// Evacuation is an operator's request that no requests be sent to the servers of a zone.
+type Evacuation struct {
+	AvailabilityZone string
+}
+
 // Move is an operator's order to move a service to the software version Target.
 type Move struct {
 	Service string
