--- a/internal/coordination/serverlimit/granter.go
+++ b/internal/coordination/serverlimit/granter.go
@@ -9,9 +9,9 @@
 	// takeoverTime is the time for which a new granter gives out nothing for a server, as the
 	// one before it may still be asked.
 	takeoverTime = time.Second
-	// Permits that nobody asked for accumulate over burstTime, besides burst.
-	burstTime = 200 * time.Millisecond
-	burst     = 2
+	// BurstTime is the time over which permits that nobody asked for accumulate, besides Burst.
+	BurstTime = 200 * time.Millisecond
+	Burst     = 2
 	// maxTurnWait bounds the time, besides that until the next permit, after which a VM is
 	// told to ask again.
 	maxTurnWait = 3 * time.Second
@@ -74,7 +74,7 @@
 		// VMs that were told to wait under the other limit would ask too late or too soon.
 		b.rate, b.nextTurn = rate, time.Time{}
 	}
-	b.level = min(b.level, burst+rate*burstTime.Seconds())
+	b.level = min(b.level, Burst+rate*BurstTime.Seconds())
 }
 
 // Sweep forgets the buckets that were not used for long.
--- a/internal/coordination/serverlimit/serverlimit.go
+++ b/internal/coordination/serverlimit/serverlimit.go
@@ -245,6 +245,19 @@
 	return out
 }
 
+// SetRate sets the limit of a server that its VM knows from elsewhere than its answers. Digests
+// do not contain it.
+func (t *Table) SetRate(server uint32, rate float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[server]
+	if e == nil {
+		e = &entry{}
+		t.entries[server] = e
+	}
+	e.Statement = Statement{Server: server, Rate: rate}
+}
+
 // active returns the entry of a limited server, nil if it has no limit. A limit that was
 // stated before the server's process started is that of an earlier process. The caller must
 // hold the lock.
