--- a/internal/coordination/fleetplan/counter.go
+++ b/internal/coordination/fleetplan/counter.go
@@ -189,6 +189,24 @@
 	}
 }
 
+// Outside returns the counts of the slots outside the given zones.
+func (c Counts) Outside(zones []string) Counts {
+	out := Counts{}
+	for slot, n := range c {
+		if !slices.Contains(zones, slot.AvailabilityZone) {
+			out[slot] = n
+		}
+	}
+	return out
+}
+
+// KeepAll raises the counts to those of VMs that exist, so that none is stopped.
+func (c Counts) KeepAll(existing Counts) {
+	for slot, n := range existing {
+		c[slot] = max(c[slot], n)
+	}
+}
+
 // ByZone returns the number of VMs in each availability zone.
 func (c Counts) ByZone() map[string]int {
 	perZone := map[string]int{}
