Gateway: obey zone evacuations, and keep cold servers within their rate

Idle connections to the zone are closed; running streams end there.

Nothing bounded what a cold server gets. Each request to one now needs a permit from the granter of servers with limits, or takes a turn of an even share where that can't be asked. Both only where the records, the document and the settings state it.

--- a/internal/gateway/announcements.go
+++ b/internal/gateway/announcements.go
@@ -36,6 +36,7 @@
 	service, now := b.service, n.now()
 	n.limits.observe(service, id, process, head, sentAt, now)
 	n.places.observe(service, id, process, head, sentAt, now)
+	n.observeColdAnswer(service, process, head, now)
 	if head.Leaving {
 		if n.backends.recordLeaving(process, n.clock.unixMillis(sentAt), now) {
 			n.log.Event("servers", "announced-leaving", "server", process.ServerID, "service", service, "started", process.StartedAtMillis, "id", id)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -404,6 +404,10 @@
 // maySend reports whether the request may still be sent, when a connection is at hand.
 func (a *attempt) maySend() bool {
 	n := a.q.node
+	if n.backends.isEvacuated(&a.placed.info) {
+		n.metrics.diverted.WithLabelValues(a.q.service, "evacuated").Inc()
+		return false
+	}
 	return n.backends.maySend(a.placed, n.now()) && a.sending.CompareAndSwap(notSent, sent)
 }
 
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -12,10 +12,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/announcements"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/coldservers"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/serverlimit"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/zoneevacuation"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -123,6 +125,13 @@
 	limits *serverlimit.Table
 	// brittle holds what servers have stated about the rejections that they survive.
 	brittle *serverlimit.Table
+	// zones holds the availability zones that the operator has evacuated.
+	zones *zoneevacuation.Table
+	// cold holds the servers that are cold, coldLimit returns the limit of a service's cold
+	// servers, and coldLimits holds the limits of those that got requests.
+	cold       *coldservers.Table
+	coldLimit  func(service string) coldservers.Limit
+	coldLimits *serverlimit.Table
 	// self is the name of this VM, and servingVMs holds those of the others that serve
 	// requests. Together they use the places of brittle servers.
 	self       string
@@ -158,6 +167,9 @@
 		announcements: announcements.NewTable(),
 		limits:        serverlimit.NewTable(newRandom()),
 		brittle:       serverlimit.NewTable(newRandom()),
+		zones:         zoneevacuation.NewTable(),
+		cold:          coldservers.NewTable(),
+		coldLimits:    serverlimit.NewTable(newRandom()),
 		unixMillis:    time.Time.UnixMilli,
 	}
 }
@@ -284,15 +296,15 @@
 
 // maySend reports whether an attempt that is placed may still be sent to its server.
 func (t *backendTable) maySend(p *placedAttempt, now time.Time) bool {
-	return t.announcements.Status(processOf(&p.info), now).MaySend(now)
+	return !t.isEvacuated(&p.info) && t.announcements.Status(processOf(&p.info), now).MaySend(now)
 }
 
 // wantsRequests reports whether a server has neither announced that it will stop nor that it
-// wants no requests for a while.
+// wants no requests for a while, and its zone is not evacuated.
 func (t *backendTable) wantsRequests(b *backend, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !b.leaves() && b.announced.MaySend(now)
+	return !t.isEvacuated(&b.info) && !b.leaves() && b.announced.MaySend(now)
 }
 
 // byProcess returns the server with an ID whose process started at a Unix time, nil if it is
@@ -335,7 +347,7 @@
 	defer t.mu.Unlock()
 	var out []*placedAttempt
 	for _, b := range t.byService[service] {
-		if b.removedAt.IsZero() && !b.leaves() && b.announced.MaySend(now) {
+		if b.removedAt.IsZero() && !t.isEvacuated(&b.info) && !b.leaves() && b.announced.MaySend(now) {
 			out = append(out, &placedAttempt{server: b, info: b.info})
 		}
 	}
@@ -387,7 +399,9 @@
 // roomAt returns the time from which a server may have room within the limit that it has
 // named, and false if it has named none. The caller must hold the table's lock.
 func (t *backendTable) roomAt(b *backend, now time.Time) (at time.Time, limited bool) {
-	return t.limits.RoomAt(b.shortHash, b.info.StartedAtMillis, now)
+	at, limited = t.limits.RoomAt(b.shortHash, b.info.StartedAtMillis, now)
+	coldAt, cold := t.coldRoomAt(b, now)
+	return later(at, coldAt), limited || cold
 }
 
 // isLimited reports whether a server has named a limit.
@@ -517,7 +531,7 @@
 	defer t.mu.Unlock()
 	for _, b := range t.byService[service] {
 		switch {
-		case !b.removedAt.IsZero() || b.leaves():
+		case !b.removedAt.IsZero() || b.leaves() || t.isEvacuated(&b.info):
 		case b.info.SoftwareVersion == version:
 			hasVersion = true
 		default:
@@ -626,7 +640,7 @@
 		if limited {
 			until = roomAt
 		}
-		if query.exclude[b.id] || b.leaves() || !b.removedAt.IsZero() || !query.versions.allows(&b.info) || !limited && !now.Before(until) {
+		if query.exclude[b.id] || t.isEvacuated(&b.info) || b.leaves() || !b.removedAt.IsZero() || !query.versions.allows(&b.info) || !limited && !now.Before(until) {
 			continue
 		}
 		if !ok || until.Before(due) {
@@ -651,7 +665,7 @@
 	places := t.servicePlaces(query.service, now)
 	for _, b := range t.byService[query.service] {
 		switch {
-		case query.exclude[b.info.ID] || b.info.Leaving || !query.versions.allows(&b.info):
+		case query.exclude[b.info.ID] || t.isEvacuated(&b.info) || b.info.Leaving || !query.versions.allows(&b.info):
 		case !b.announced.MaySend(now) || !t.mayHaveRoom(b, query, now):
 		case places.isBrittle(b) && (query.skipLimited || !places.hasPlace(b, &query.request) || query.isReplacement && !places.isDivided(b)):
 		case !b.removedAt.IsZero():
@@ -711,7 +725,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, other := range t.byService[b.service] {
-		if other.id != b.id && other.removedAt.IsZero() && !other.leaves() {
+		if other.id != b.id && other.removedAt.IsZero() && !other.leaves() && !t.isEvacuated(&other.info) {
 			return false
 		}
 	}
@@ -787,7 +801,7 @@
 		Hash:     b.hash,
 		Load:     load,
 		Slots:    b.info.Slots,
-		Slowdown: t.health.Slowdown(key, now),
+		Slowdown: t.slowdown(b, now),
 		Weight:   t.health.Weight(key, now),
 		SameZone: b.info.AvailabilityZone == query.zone,
 	}
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -382,7 +382,7 @@
 // checkServer asks the attempt's server on a new connection whether it answers.
 func (a *attempt) checkServer(ctx context.Context) {
 	n := a.q.node
-	if n.links.IsCut(a.q.service) || n.backends.heardRecently(a.placed.server, n.now()) || n.backends.isLimited(a.placed.server) || n.places.isBrittle(a.placed.server) || !n.checks.acquire(a.q.service) {
+	if !n.backends.mayAsk(a.placed.server) || n.links.IsCut(a.q.service) || n.backends.heardRecently(a.placed.server, n.now()) || n.backends.isLimited(a.placed.server) || n.places.isBrittle(a.placed.server) || !n.checks.acquire(a.q.service) {
 		return
 	}
 	defer n.checks.release(a.q.service)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -45,7 +45,7 @@
 // recordLinkFailure records that a connection of this VM to a server, begun at startedAt, has
 // failed.
 func (n *Node) recordLinkFailure(b *backend, startedAt time.Time) {
-	servers := len(n.backends.servers(b.service))
+	servers := n.backends.countOutsideEvacuated(b.service)
 	if n.links.Failed(b.service, b.id, servers, startedAt, n.now()) {
 		n.log.Event("links", "suspected", "service", b.service, "server", b.id)
 		if n.moves.losses.doubt(b.service, n.now()) {
@@ -84,7 +84,7 @@
 		}
 	}
 	probes.Wait()
-	now, servers := n.now(), len(n.backends.servers(service))
+	now, servers := n.now(), n.backends.countOutsideEvacuated(service)
 	isCut := n.links.Checked(service, servers, int(reached.Load()), now)
 	n.moves.losses.settle(service, isCut, now)
 	if !isCut {
@@ -114,7 +114,7 @@
 // recordLinkWorked records that a server has answered on a connection of this VM that was
 // begun at startedAt.
 func (n *Node) recordLinkWorked(b *backend, startedAt time.Time) {
-	n.links.Worked(b.service, b.id, len(n.backends.servers(b.service)), startedAt)
+	n.links.Worked(b.service, b.id, n.backends.countOutsideEvacuated(b.service), startedAt)
 }
 
 // probeLinks probes the servers of a service until the links to them are restored.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,9 @@
 	utilizationLimit   *prometheus.GaugeVec
 	panics             *prometheus.CounterVec
 	brittleServers     *prometheus.GaugeVec
+	evacuatedZones     *prometheus.GaugeVec
+	coldServers        *prometheus.GaugeVec
+	diverted           *prometheus.CounterVec
 	tunnels            *prometheus.CounterVec
 	servedTunnels      prometheus.Gauge
 	linksCut           *prometheus.GaugeVec
@@ -93,6 +96,13 @@
 		brittleServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_brittle_server_places", Help: "Places of a backend server that states that it fails if it has to reject many requests.",
 		}, []string{"server", "service"}),
+		evacuatedZones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_evacuated_zone", Help: "1 while the operator has evacuated the availability zone.",
+		}, []string{"zone"}),
+		coldServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_cold_servers", Help: "Backend servers that are cold.",
+		}, []string{"service"}),
+		diverted:      counter("diverted_total", "Attempts that were not sent to the chosen server because its zone was evacuated meanwhile or because it is cold and had no room, by service and cause.", "service", "cause"),
 		tunnels:       counter("tunnels_total", "Connections to backend servers that peers were asked for as the VM's own links to them were cut, by service and result.", "service", "result"),
 		servedTunnels: gauge("served_tunnels", "Connections to backend servers that are open for peers."),
 		linksCut: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -110,6 +120,6 @@
 		}, []string{"importance"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.evacuatedZones, m.coldServers, m.diverted, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/coldservers"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quota"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/retry"
@@ -168,7 +169,7 @@
 	n.quota = quota.New(quotaExtraShare * settings.QuotaSlack)
 	n.usage = usage.NewTable(usage.Source{VM: settings.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
-	n.operatorFollower = newFollower(n, platform.OperatorTopic, func() time.Duration { return n.liveSettings.Load().DocumentBound }, operatorRecordVersion, n.applyOperatorRecord)
+	n.operatorFollower = newFollower(n, platform.OperatorTopic, func() time.Duration { return n.liveSettings.Load().operatorBound() }, operatorRecordVersion, n.applyOperatorRecord)
 	n.serverFollower = newFollower(n, platform.ServersTopic, func() time.Duration { return n.liveSettings.Load().LeaveBound }, serverRecordVersion, n.applyServerRecord)
 	n.serverFollower.readPause = serverReadPause
 	n.peerPool = peer.NewPool()
@@ -184,6 +185,7 @@
 	n.backends.onHead = func(b *backend, status int, header http.Header, sentAt time.Time) {
 		n.recordStatements(b, sentAt, platform.DecodeAnswer(status, header))
 	}
+	n.backends.coldLimit = n.coldLimit
 	n.backends.self = settings.VM
 	n.backends.unixMillis = n.clock.unixMillis
 	n.links = serverlinks.NewTable()
@@ -289,6 +291,8 @@
 		n.applyDocument(c.Value, c.Position)
 	case strings.HasPrefix(c.Key, platform.MoveKeyPrefix):
 		n.moves.applyOrder(c)
+	case strings.HasPrefix(c.Key, platform.EvacuationKeyPrefix):
+		n.applyEvacuation(c)
 	}
 }
 
@@ -331,6 +335,7 @@
 		return
 	}
 	previous, known := n.backends.put(s, now)
+	n.observeCold(id, s.Service, s.ColdRemaining, coldservers.Record, now)
 	if !known || previous.Leaving != s.Leaving || previous.Address != s.Address || previous.StartedAtMillis != s.StartedAtMillis {
 		n.log.Event("servers", "entry", "server", id, "service", s.Service, "zone", s.AvailabilityZone, "address", s.Address,
 			"leaving", s.Leaving, "reclaimable", s.Reclaimable, "version", s.SoftwareVersion, "offset", at)
@@ -359,6 +364,8 @@
 		n.quarantiner.sweep()
 		n.limits.sweep(n.now())
 		n.places.sweep(n.now())
+		n.sweepZones(n.now())
+		n.sweepCold(n.now())
 		for _, f := range []*follower{n.operatorFollower, n.serverFollower} {
 			if c := f.confirmation(); !c.At.IsZero() {
 				n.metrics.confirmationAge.WithLabelValues(f.topic).Set(n.now().Sub(c.At).Seconds())
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -110,49 +110,94 @@
 	n.log.Failure("servers", "no-room", "id", q.call.ID, "service", q.service, "ahead", l.queue.Ahead(q.service, q.room.place, q.priority()), "room-in", room, "granter", n.members.granter(), "limits", strings.Join(limits, ","))
 }
 
-// takePermit gets a permit for an attempt on a server that has named a limit, and reports
-// whether the request may be sent there.
+// permitResult is what has become of an attempt for which a permit may be needed.
+type permitResult string
+
+// Values of permitResult, as the metrics name them.
+const (
+	permitNotNeeded permitResult = ""
+	permitGranted   permitResult = "granted"
+	permitOwnShare  permitResult = "own-share"
+	permitDenied    permitResult = "denied"
+	permitNotAsked  permitResult = "no-granter"
+)
+
+func (r permitResult) isDenied() bool { return r == permitDenied || r == permitNotAsked }
+
+// takePermit gets the permits for an attempt on a server that has named a limit or is cold, and
+// reports whether the request may be sent there.
 func (l *serverLimits) takePermit(ctx context.Context, p *placedAttempt, parts []platform.Part) bool {
 	n := l.node
-	service := p.server.service
 	if !n.places.takePlace(ctx, p) {
 		return false
 	}
-	if _, limited := l.table.Rate(p.server.shortHash, p.info.StartedAtMillis); !limited {
-		return true
+	service := p.server.service
+	named := l.ofNamedLimit(ctx, p)
+	l.count(service, "", named)
+	if named.isDenied() {
+		return false
+	}
+	cold := l.ofColdServer(ctx, p)
+	l.count(service, "cold-", cold)
+	if cold.isDenied() {
+		n.metrics.diverted.WithLabelValues(service, "cold").Inc()
+		return false
+	}
+	if named != permitNotNeeded || cold != permitNotNeeded {
+		l.queue.Granted(service, n.now())
+		n.backends.recordSent(p, parts, n.now())
+	}
+	return true
+}
+
+func (l *serverLimits) count(service, prefix string, r permitResult) {
+	if r != permitNotNeeded {
+		l.node.metrics.permits.WithLabelValues(service, prefix+string(r)).Inc()
+	}
+}
+
+// ofNamedLimit gets a permit for a server that has named a limit.
+func (l *serverLimits) ofNamedLimit(ctx context.Context, p *placedAttempt) permitResult {
+	b := p.server
+	if _, limited := l.table.Rate(b.shortHash, p.info.StartedAtMillis); !limited {
+		return permitNotNeeded
+	}
+	return l.permit(ctx, l.table, b, b.shortHash, p.info.StartedAtMillis)
+}
+
+// ofColdServer gets a permit for a server that is cold.
+func (l *serverLimits) ofColdServer(ctx context.Context, p *placedAttempt) permitResult {
+	b, t := p.server, l.node.backends
+	if _, limited := t.coldRate(b, l.node.now()); !limited {
+		return permitNotNeeded
 	}
-	now := n.now()
-	ask, s := l.table.Begin(p.server.shortHash, p.info.StartedAtMillis, n.members.count(), now)
-	granted := false
+	return l.permit(ctx, t.coldLimits, b, b.shortHash^coldBucket, 0)
+}
+
+// permit gets a permit from the granter, or from this node's own share of the limit that table
+// holds under key.
+func (l *serverLimits) permit(ctx context.Context, table *serverlimit.Table, b *backend, key uint32, startedAtMillis int64) permitResult {
+	n := l.node
+	ask, s := table.Begin(key, startedAtMillis, n.members.count(), n.now())
 	switch ask {
 	case serverlimit.Unlimited:
-		return true
+		return permitNotNeeded
 	case serverlimit.OwnShare:
-		granted = true
-	case serverlimit.AskGranter:
-		reply, err := l.ask(ctx, &relayapi.PermitRequest{Server: s.Server, Rate: s.Rate})
-		now = n.now()
-		if err != nil {
-			l.table.AskFailed(s.Server, now)
-			n.metrics.permits.WithLabelValues(service, "no-granter").Inc()
-			n.log.Failure("servers", "permit-not-asked", "server", p.server.id, "service", service, "granter", n.members.granter(), "error", err)
-			return false
-		}
-		granted = reply.Granted
-		l.table.Asked(s.Server, time.Duration(reply.WaitMillis)*time.Millisecond, now)
+		return permitOwnShare
+	case serverlimit.NoRoom:
+		return permitDenied
 	}
-	if !granted {
-		n.metrics.permits.WithLabelValues(service, "denied").Inc()
-		return false
+	reply, err := l.ask(ctx, &relayapi.PermitRequest{Server: s.Server, Rate: s.Rate})
+	if err != nil {
+		table.AskFailed(s.Server, n.now())
+		n.log.Failure("servers", "permit-not-asked", "server", b.id, "service", b.service, "granter", n.members.granter(), "error", err)
+		return permitNotAsked
 	}
-	l.queue.Granted(service, now)
-	n.backends.recordSent(p, parts, now)
-	if ask == serverlimit.OwnShare {
-		n.metrics.permits.WithLabelValues(service, "own-share").Inc()
-	} else {
-		n.metrics.permits.WithLabelValues(service, "granted").Inc()
+	table.Asked(s.Server, time.Duration(reply.WaitMillis)*time.Millisecond, n.now())
+	if !reply.Granted {
+		return permitDenied
 	}
-	return true
+	return permitGranted
 }
 
 var errNoGranter = errors.New("no VM holds the lease")
@@ -212,8 +257,13 @@
 // service's servers.
 func (l *serverLimits) evenInterval(service string) time.Duration {
 	total := 0.0
+	now := l.node.now()
 	for _, s := range l.node.backends.servers(service) {
-		if rate, limited := l.table.Rate(shortHash(s.ID), s.StartedAtMillis); limited {
+		rate, limited := l.table.Rate(shortHash(s.ID), s.StartedAtMillis)
+		if cold, isCold := l.node.backends.coldRateOf(s.ID, now); isCold && (!limited || cold < rate) {
+			rate, limited = cold, true
+		}
+		if limited {
 			total += max(rate, serverlimit.MinRate)
 		}
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,6 +29,14 @@
 	// VM sends it requests.
 	DocumentBound time.Duration
 	LeaveBound    time.Duration
+	// EvacuationBound is the time from the acknowledgement that an availability zone is
+	// evacuated until no VM sends requests there. If it is 0, DocumentBound applies.
+	EvacuationBound time.Duration
+	// ColdOver and ColdSlack bound the requests that a cold server gets in one second from all
+	// VMs: ColdOver times what the document states for its service, and ColdSlack beyond that.
+	// There is no bound if ColdOver is 0.
+	ColdOver  float64
+	ColdSlack float64
 
 	// FirstStart is true if all VMs of the deployment start for the first time.
 	FirstStart bool
@@ -79,7 +87,10 @@
 	{"listen.seeds", true, func(a, b *Settings) bool { return a.SeedAddresses == b.SeedAddresses }},
 	{"listen.address_keep", true, func(a, b *Settings) bool { return a.AddressTTL == b.AddressTTL }},
 	{"platform", true, func(a, b *Settings) bool { return a.StoreAddress == b.StoreAddress && a.CloudAddress == b.CloudAddress }},
-	{"platform.bounds", true, func(a, b *Settings) bool { return a.DocumentBound == b.DocumentBound && a.LeaveBound == b.LeaveBound }},
+	{"platform.bounds", true, func(a, b *Settings) bool {
+		return a.DocumentBound == b.DocumentBound && a.LeaveBound == b.LeaveBound && a.EvacuationBound == b.EvacuationBound
+	}},
+	{"cold_servers", true, func(a, b *Settings) bool { return a.ColdOver == b.ColdOver && a.ColdSlack == b.ColdSlack }},
 	{"duties.lease", false, func(a, b *Settings) bool { return a.Lease == b.Lease }},
 	{"duties.usage_window", false, func(a, b *Settings) bool { return a.UsageWindow == b.UsageWindow }},
 	{"duties.usage_late", true, func(a, b *Settings) bool { return a.UsageReportTimeout == b.UsageReportTimeout }},
@@ -89,6 +100,14 @@
 	{"quota.slack", true, func(a, b *Settings) bool { return a.QuotaSlack == b.QuotaSlack }},
 }
 
+// operatorBound returns the time within which the operator's records must be in force.
+func (s *Settings) operatorBound() time.Duration {
+	if s.EvacuationBound == 0 {
+		return s.DocumentBound
+	}
+	return min(s.DocumentBound, s.EvacuationBound)
+}
+
 // changes returns the names of the settings that differ: those that a reload
 // applies, and those that need a restart.
 func (s *Settings) changes(next *Settings) (applied, needRestart []string) {
@@ -124,6 +143,9 @@
 	schema.RequiredAddress("platform", "cloud", &s.CloudAddress, "address for orders and usage reports")
 	schema.Duration("platform", "document_bound", &s.DocumentBound, 2*time.Second, 500*time.Millisecond, time.Minute, "maximum time from the store's acknowledgement of a document until it is in force at every VM")
 	schema.Duration("platform", "leave_bound", &s.LeaveBound, 2*time.Second, 500*time.Millisecond, time.Minute, "maximum time from the acknowledgement that a server leaves until no VM sends it requests")
+	schema.Duration("platform", "evacuation_bound", &s.EvacuationBound, 0, 0, time.Minute, "maximum time from the acknowledgement that an availability zone is evacuated until no VM sends requests there; document_bound applies if it is 0 or longer")
+	schema.Float("cold_servers", "over", &s.ColdOver, 0, 0, 100, "factor", "requests that a cold server gets in one second from all VMs at most, as a multiple of what the document states; 0 means no bound")
+	schema.Float("cold_servers", "slack", &s.ColdSlack, 0, 0, 1<<20, "requests", "requests that a cold server may get in one second beyond that")
 	schema.Duration("duties", "lease", &s.Lease, 3*time.Second, 100*time.Millisecond, time.Hour, "duration of the lease for the singleton duties")
 	schema.Duration("duties", "usage_window", &s.UsageWindow, 5*time.Second, time.Second, time.Hour, "length of a usage window")
 	schema.Duration("duties", "usage_late", &s.UsageReportTimeout, 10*time.Second, time.Second, time.Hour, "maximum time from the end of a usage window to its report")
