Orders: replace the servers of an evacuated zone elsewhere

Servers of an evacuated zone do not count as serving, and nothing is ordered there. For a while after the zone is taken back no server is stopped, as its own may be cold.

--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -34,6 +34,9 @@
 	// unavailablePause is the time for which a kind of server that was
 	// unavailable is not ordered again.
 	unavailablePause = 2 * time.Second
+	// returnHoldTime is the time, besides that for which its servers are cold, after a zone is
+	// taken back in which no server is stopped.
+	returnHoldTime = 10 * time.Second
 	// priceUnit converts relative prices to the integer prices of the fleet plan.
 	priceUnit = 1000
 )
@@ -142,8 +145,10 @@
 	observed := o.countServers(name)
 	o.recordIneffective(name, so, s.Scaling.BootTime+registrationTime, observed, now)
 	so.meter.RecordWork(o.node.work.total(name), now)
-	if lowered, late := so.meter.RecordAnswers(o.node.work.total(answeredTotal(name)), o.node.work.total(lateTotal(name)), observed.Total(), now); lowered {
-		o.node.log.Event("duties", "utilization-lowered", "service", name, "to", so.meter.UtilizationLimit(), "late", late, "servers", observed.Total())
+	evacuated := o.node.backends.zones.Evacuated()
+	serving := observed.Outside(evacuated)
+	if lowered, late := so.meter.RecordAnswers(o.node.work.total(answeredTotal(name)), o.node.work.total(lateTotal(name)), serving.Total(), now); lowered {
+		o.node.log.Event("duties", "utilization-lowered", "service", name, "to", so.meter.UtilizationLimit(), "late", late, "servers", serving.Total())
 	}
 	o.node.metrics.utilizationLimit.WithLabelValues(name).Set(so.meter.UtilizationLimit())
 	initial := o.initialSize(name)
@@ -155,7 +160,10 @@
 	demand.KeepReclaimable = !so.meter.Measured()
 	bounds := fleetplan.ZoneLimits{MinPerZone: s.Scaling.Min, MaxPerZone: s.Scaling.Max}
 	var due []fleetplan.Slot
-	desired := so.counter.Step(demand, bounds, offersOf(s.Scaling), observed, now)
+	desired := so.counter.Step(demand, bounds, offersOutside(evacuated, offersOf(s.Scaling)), serving, now)
+	if o.node.backends.zones.WasTakenBackWithin(returnHoldTime+s.ColdTime, now) {
+		desired.KeepAll(observed)
+	}
 	reservation := o.reservation(name, so, observed)
 	if so.reserved && len(reservation) == 0 {
 		so.orders.Forget()
@@ -280,6 +288,11 @@
 	return out
 }
 
+// offersOutside returns the offers outside the given zones.
+func offersOutside(zones []string, offers []fleetplan.Offer) []fleetplan.Offer {
+	return slices.DeleteFunc(offers, func(o fleetplan.Offer) bool { return slices.Contains(zones, o.AvailabilityZone) })
+}
+
 // initialSize returns the initial number of servers of a service, as recorded in
 // the duties log, or 0 if it is unknown.
 func (o *orderer) initialSize(name string) int {
