--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -556,7 +556,9 @@
 	choice    placement.Choice
 	load      placement.Load
 	inPrefill bool
-	health    health.Key
+	// isCold is set if the server was cold when it was chosen.
+	isCold bool
+	health health.Key
 	// hasPlace is set if the attempt has got one of the places of a brittle server.
 	hasPlace bool
 	// onRelease is called once the attempt is released, if it is set.
@@ -823,6 +825,7 @@
 		info:      b.info,
 		choice:    choice,
 		inPrefill: query.request.PromptTokens > 0,
+		isCold:    t.cold.IsCold(b.id, now),
 		health:    healthKey(&b.info),
 		load:      placement.Load{PrefillTokens: choice.UncachedTokens, Running: 1, MemoryTokens: float64(query.request.PromptTokens + query.request.AnswerTokens)},
 	}
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -173,9 +173,10 @@
 	}
 }
 
-// isCold reports whether an attempt's server is cold.
+// isCold reports whether an attempt's server was cold when it was chosen, or is still slow after
+// its start.
 func (v *versionMoves) isCold(p *placedAttempt, now time.Time) bool {
-	return v.node.backends.cold.IsCold(p.server.id, now) || p.info.ColdRemaining > 0 && v.node.clock.unixMillis(now)-p.info.StartedAtMillis < p.info.ColdRemaining.Milliseconds()
+	return p.isCold || p.info.ColdRemaining > 0 && v.node.clock.unixMillis(now)-p.info.StartedAtMillis < p.info.ColdRemaining.Milliseconds()
 }
 
 // countOverdue counts the attempts that have waited so long that their answers are slow.
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -163,6 +163,8 @@
 	desired := so.counter.Step(demand, bounds, offersOutside(evacuated, offersOf(s.Scaling)), serving, now)
 	if o.node.backends.zones.WasTakenBackWithin(returnHoldTime+s.ColdTime, now) {
 		desired.KeepAll(observed)
+		// Servers that were ordered elsewhere may have started since they were counted.
+		desired.KeepAll(so.ordered)
 	}
 	reservation := o.reservation(name, so, observed)
 	if so.reserved && len(reservation) == 0 {
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -55,6 +55,9 @@
 	for _, b := range t.byID {
 		if b.info.AvailabilityZone == zone {
 			pools = append(pools, b.pool)
+			if b.removedAt.IsZero() {
+				servers++
+			}
 			running += int(b.ownLoad.Running)
 		}
 	}
@@ -62,7 +65,7 @@
 	for _, p := range pools {
 		p.CloseIdle()
 	}
-	return len(pools), running
+	return servers, running
 }
 
 // isEvacuated reports whether a server's zone is evacuated, so that no request may be sent to
