--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -11,10 +11,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/announcements"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/coldservers"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/serverlimit"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/zoneevacuation"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
 )
@@ -107,6 +109,13 @@
 	limits *serverlimit.Table
 	// brittle holds what servers have stated about the rejections that they survive.
 	brittle *serverlimit.Table
+	// zones holds the availability zones that the operator has evacuated.
+	zones *zoneevacuation.Table
+	// cold holds the servers that are cold, coldLimit returns the limit of a service's cold
+	// servers, and coldLimits holds the limits of those that got requests.
+	cold       *coldservers.Table
+	coldLimit  func(service string) coldservers.Limit
+	coldLimits *serverlimit.Table
 	// self is the name of this VM, and servingVMs holds those of the others that serve
 	// requests. Together they use the places of brittle servers.
 	self       string
@@ -138,6 +147,9 @@
 		announcements: announcements.NewTable(),
 		limits:        serverlimit.NewTable(newRandom()),
 		brittle:       serverlimit.NewTable(newRandom()),
+		zones:         zoneevacuation.NewTable(),
+		cold:          coldservers.NewTable(),
+		coldLimits:    serverlimit.NewTable(newRandom()),
 		unixMillis:    time.Time.UnixMilli,
 	}
 }
@@ -263,11 +275,11 @@
 }
 
 // wantsRequests reports whether a server has neither announced that it will stop nor that it
-// wants no requests for a while.
+// wants no requests for a while, and its zone is not evacuated.
 func (t *backendTable) wantsRequests(b *backend, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !b.leaves() && b.announced.MaySend(now)
+	return !t.isEvacuated(&b.info) && !b.leaves() && b.announced.MaySend(now)
 }
 
 // byProcess returns the server with an ID whose process started at a Unix time, nil if it is
@@ -408,7 +420,7 @@
 	defer t.mu.Unlock()
 	for _, b := range t.byService[service] {
 		switch {
-		case !b.removedAt.IsZero() || b.leaves():
+		case !b.removedAt.IsZero() || b.leaves() || t.isEvacuated(&b.info):
 		case b.info.SoftwareVersion == version:
 			hasVersion = true
 		default:
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,7 +25,9 @@
 // roomAt returns the time from which a server may have room within the limit that it has
 // named, and false if it has named none. The caller must hold the table's lock.
 func (t *backendTable) roomAt(b *backend, now time.Time) (at time.Time, limited bool) {
-	return t.limits.RoomAt(b.shortHash, b.info.StartedAtMillis, now)
+	at, limited = t.limits.RoomAt(b.shortHash, b.info.StartedAtMillis, now)
+	coldAt, cold := t.coldRoomAt(b, now)
+	return later(at, coldAt), limited || cold
 }
 
 // isLimited reports whether a server has named a limit.
@@ -127,7 +129,7 @@
 		if limited {
 			until = roomAt
 		}
-		if query.exclude[b.id] || b.leaves() || !b.removedAt.IsZero() || !query.versions.allows(&b.info) || !limited && !now.Before(until) {
+		if query.exclude[b.id] || t.isEvacuated(&b.info) || b.leaves() || !b.removedAt.IsZero() || !query.versions.allows(&b.info) || !limited && !now.Before(until) {
 			continue
 		}
 		if !ok || until.Before(due) {
@@ -152,7 +154,7 @@
 	places := t.servicePlaces(query.service, now)
 	for _, b := range t.byService[query.service] {
 		switch {
-		case query.exclude[b.info.ID] || b.info.Leaving || !query.versions.allows(&b.info):
+		case query.exclude[b.info.ID] || t.isEvacuated(&b.info) || b.info.Leaving || !query.versions.allows(&b.info):
 		case !b.announced.MaySend(now) || !t.mayHaveRoom(b, query, now):
 		case places.isBrittle(b) && (query.skipLimited || !places.hasPlace(b, &query.request) || query.isReplacement && !places.isDivided(b)):
 		case !b.removedAt.IsZero():
@@ -192,7 +194,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, other := range t.byService[b.service] {
-		if other.id != b.id && other.removedAt.IsZero() && !other.leaves() {
+		if other.id != b.id && other.removedAt.IsZero() && !other.leaves() && !t.isEvacuated(&other.info) {
 			return false
 		}
 	}
@@ -229,7 +231,7 @@
 		Hash:     b.hash,
 		Load:     load,
 		Slots:    b.info.Slots,
-		Slowdown: t.health.Slowdown(key, now),
+		Slowdown: t.slowdown(b, now),
 		Weight:   t.health.Weight(key, now),
 		SameZone: b.info.AvailabilityZone == query.zone,
 	}
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -41,7 +41,7 @@
 	defer t.mu.Unlock()
 	var out []*placedAttempt
 	for _, b := range t.byService[service] {
-		if b.removedAt.IsZero() && !b.leaves() && b.announced.MaySend(now) {
+		if b.removedAt.IsZero() && !t.isEvacuated(&b.info) && !b.leaves() && b.announced.MaySend(now) {
 			out = append(out, &placedAttempt{server: b, info: b.info})
 		}
 	}
--- a/internal/gateway/reservations.go
+++ b/internal/gateway/reservations.go
@@ -23,7 +23,7 @@
 
 // maySend reports whether an attempt that is placed may still be sent to its server.
 func (t *backendTable) maySend(p *placedAttempt, now time.Time) bool {
-	return t.announcements.Status(processOf(&p.info), now).MaySend(now)
+	return !t.isEvacuated(&p.info) && t.announcements.Status(processOf(&p.info), now).MaySend(now)
 }
 
 // unplaced returns an attempt on a server without load, for checks.
@@ -57,7 +57,9 @@
 	choice    placement.Choice
 	load      placement.Load
 	inPrefill bool
-	health    health.Key
+	// isCold is set if the server was cold when it was chosen.
+	isCold bool
+	health health.Key
 	// hasPlace is set if the attempt has got one of the places of a brittle server.
 	hasPlace bool
 	// onRelease is called once the attempt is released, if it is set.
@@ -72,6 +74,7 @@
 		info:      b.info,
 		choice:    choice,
 		inPrefill: query.request.PromptTokens > 0,
+		isCold:    t.cold.IsCold(b.id, now),
 		health:    healthKey(&b.info),
 		load:      placement.Load{PrefillTokens: choice.UncachedTokens, Running: 1, MemoryTokens: float64(query.request.PromptTokens + query.request.AnswerTokens)},
 	}
