gateway: streams on reclaimable engines that leave go on elsewhere

Change: where the configuration says that a service's engines copy memory, the run's memory is copied during the notice, the run is stopped, and the request goes on with the copy on another engine, within the same answer.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -25,7 +25,7 @@
 	if answer.OnNewConnection && !a.isTunneled.Load() {
 		q.node.recordLinkWorked(a.placed.server, a.startedAt)
 	}
-	if !a.head.NotRun {
+	if !a.head.NotRun && a.copy == "" {
 		q.possibleRuns++
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,9 +102,11 @@
 	// outcomeUnneeded means that the attempt was to take the request over from a silent
 	// one, which has gone on.
 	outcomeUnneeded
+	// outcomeRelocated means that the request goes on with its memory on another server.
+	outcomeRelocated
 )
 
-var outcomeNames = [...]string{"answered", "not-sent", "not-run", "failed", "lost", "silent", "caller-left", "late", "unneeded"}
+var outcomeNames = [...]string{"answered", "not-sent", "not-run", "failed", "lost", "silent", "caller-left", "late", "unneeded", "relocated"}
 
 func (o attemptOutcome) String() string { return outcomeNames[o] }
 
@@ -251,9 +253,15 @@
 	case outcomeCallerLeft, outcomeDeadline:
 		q.finish(outcome, outcome.String())
 		return true
-	case outcomeNotSent:
-		return false
-	case outcomeNotRun:
+	case outcomeNotSent, outcomeNotRun:
+		if q.possibleRuns > 0 && !q.mayRetry() {
+			// The copy of its memory is lost.
+			q.finish(outcomeLost, outcome.String())
+			return true
+		}
+		if outcome == outcomeNotSent {
+			return false
+		}
 		if q.fullServers > maxFullServers {
 			q.finish(outcome, "servers-full")
 			return true
@@ -303,8 +311,11 @@
 // attempt is one attempt in progress. Its own goroutine exchanges the request with the
 // server; everything else is done by the request's goroutine, which receives from arrivals.
 type attempt struct {
-	q         *request
-	placed    *placedAttempt
+	q      *request
+	placed *placedAttempt
+	// copy names the copy of the request's memory with which the run goes on, empty if it
+	// begins anew.
+	copy      string
 	ctx       context.Context
 	cancel    context.CancelFunc
 	startedAt time.Time
@@ -320,8 +331,9 @@
 	// answer and head are nil and empty until the head of the answer has arrived.
 	answer *upstream.Answer
 	head   platform.Answer
-	// hasEvent is set after the first event.
-	hasEvent bool
+	// hasEvent is set after the first event, which arrived at firstEventAt.
+	hasEvent     bool
+	firstEventAt time.Time
 	// lastByteAt is the time at which bytes last arrived, in nanoseconds since startedAt.
 	lastByteAt atomic.Int64
 	// progressAt is the time of the last arrival that was no repeated event.
@@ -340,11 +352,17 @@
 // startAttempt starts to send the request to a server, on the given connection if there is
 // one. The attempt's end method must be called.
 func (q *request) startAttempt(ctx context.Context, p *placedAttempt, connection *upstream.Connection) *attempt {
+	return q.startAttemptWith(ctx, p, connection, "")
+}
+
+// startAttemptWith starts an attempt that goes on with a copy of the request's memory, empty for
+// none.
+func (q *request) startAttemptWith(ctx context.Context, p *placedAttempt, connection *upstream.Connection, memoryCopy string) *attempt {
 	now := q.node.now()
-	a := &attempt{q: q, placed: p, startedAt: now, progressAt: now, arrivals: make(chan arrival), left: make(chan struct{})}
+	a := &attempt{q: q, placed: p, copy: memoryCopy, startedAt: now, progressAt: now, arrivals: make(chan arrival), left: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	q.node.moves.attemptStarted(p, q.routeName(), a.startedAt)
-	request := q.upstreamRequest(p, a.startedAt)
+	request := q.upstreamRequest(p, a.startedAt, memoryCopy)
 	request.Connection = connection
 	request.MaySend = a.maySend
 	request.OnData = func() { a.lastByteAt.Store(int64(time.Since(a.startedAt))) }
@@ -367,13 +385,31 @@
 	}
 	w := newSilenceWatch(ctx, a)
 	defer w.stop()
+	r := &relocation{a: a}
+	defer r.stop()
 	for {
 		select {
 		case x := <-a.arrivals:
+			if x.kind == arrivedEnd && !a.isComplete(x) {
+				if next := r.streamEnded(ctx); next != nil {
+					return outcomeRelocated, next
+				}
+			}
 			if outcome, next, ended := w.arrived(x); ended {
 				return outcome, next
 			}
 			continue
+		case <-r.leaving():
+			r.start(ctx, w)
+			continue
+		case result := <-r.results():
+			r.received(result)
+			continue
+		case <-r.lastEventsDue():
+			if next := r.continueRun(ctx); next != nil {
+				return outcomeRelocated, next
+			}
+			continue
 		case <-w.expired():
 			next = w.timedOut()
 		case r := <-w.found():
@@ -495,13 +531,14 @@
 	return outcome
 }
 
-func (q *request) upstreamRequest(p *placedAttempt, now time.Time) upstream.Request {
+func (q *request) upstreamRequest(p *placedAttempt, now time.Time, memoryCopy string) upstream.Request {
 	forward := platform.ForwardedFields{
 		Server:    p.server.id,
 		Workspace: q.workspaceName(),
 		Timeout:   q.deadline.Sub(now),
 		Priority:  q.priority(),
 		LastEvent: q.lastEventID,
+		Copy:      memoryCopy,
 	}
 	maxIdle := maxIdleRepeatable
 	if !q.route.MayRepeat() {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -80,6 +80,8 @@
 	silentUntil time.Time
 	// noPlaceUntil is the time until which no place at the server is asked for.
 	noPlaceUntil time.Time
+	// departure is what is known of the server's end. It does not change.
+	departure *departure
 }
 
 // backendTable holds all backend servers. Its lock is acquired before the locks
@@ -173,15 +175,21 @@
 	if ok && old.info.Address == s.Address && old.info.StartedAtMillis == s.StartedAtMillis && old.info.Service == s.Service {
 		previous = old.info
 		old.info, old.removedAt = s, time.Time{}
+		if old.leaves() {
+			old.departure.announce()
+		}
 		return previous, true
 	}
 	if ok {
 		previous, known = old.info, true
 		old.pool.Close()
 	}
-	b := &backend{info: s, id: s.ID, service: s.Service, hash: xxhash.Sum64String(s.ID), cachedParts: map[uint64]time.Time{}}
+	b := &backend{info: s, id: s.ID, service: s.Service, hash: xxhash.Sum64String(s.ID), cachedParts: map[uint64]time.Time{}, departure: newDeparture()}
 	b.shortHash = uint32(b.hash)
 	b.announced = t.announcements.Status(processOf(&s), now)
+	if b.leaves() {
+		b.departure.announce()
+	}
 	service := s.Service
 	b.pool = upstream.NewPool(s.Address, upstream.Config{
 		DialTimeout:        dialTimeout,
@@ -215,6 +223,7 @@
 		return deployment.Server{}, false
 	}
 	b.removedAt = now
+	b.departure.announce()
 	return b.info, true
 }
 
@@ -255,6 +264,9 @@
 func (t *backendTable) refreshAnnounced(id string, now time.Time) {
 	if b, ok := t.byID[id]; ok {
 		b.announced = t.announcements.Status(processOf(&b.info), now)
+		if b.leaves() {
+			b.departure.announce()
+		}
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	attempts           *prometheus.CounterVec
 	answerEnds         *prometheus.CounterVec
 	searches           *prometheus.CounterVec
+	relocations        *prometheus.CounterVec
 	platformCalls      *prometheus.CounterVec
 	contentLosses      *prometheus.CounterVec
 	contentRefusals    *prometheus.CounterVec
@@ -62,6 +63,7 @@
 		firstAnswerSeconds: histogram("first_answer_seconds", "Time to the first byte of an answer."),
 		answerSeconds:      histogram("answer_seconds", "Time to the end of an answer."),
 		attempts:           counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
+		relocations:        counter("relocations_total", "Streams on reclaimable servers that leave, by service and what became of their move to another server.", "service", "end"),
 		answerEnds:         counter("answer_ends_total", "Answers of backend servers by service, framing and end.", "service", "framing", "end"),
 		searches:           counter("replacement_searches_total", "Searches for another server while an attempt was silent, by service and end.", "service", "end"),
 		platformCalls:      counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
@@ -109,7 +111,7 @@
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.relocations, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
 		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,7 +66,7 @@
 func (a *attempt) receiveEvent(ev event) (outcome attemptOutcome, ended bool) {
 	q, n := a.q, a.q.node
 	if !a.hasEvent {
-		a.hasEvent = true
+		a.hasEvent, a.firstEventAt = true, n.now()
 		a.recordFirstEvent()
 	}
 	if q.isRepeated(ev) {
--- a/internal/state/deployment/deployment.go
+++ b/internal/state/deployment/deployment.go
@@ -81,6 +81,9 @@
 	// MemoryTokens is the memory of an engine in tokens, 0 if it is not specified.
 	MemoryTokens   int
 	TokensPerEvent int
+	// CopyTokensPerSecond is the rate at which an engine copies the memory of running requests
+	// to another one, 0 if it does not.
+	CopyTokensPerSecond float64
 }
 
 // Scaling holds the bounds on a service's number of servers per availability zone,
