gateway: VMs that start together read the servers from a few readers

When all VMs of a large deployment start at once, each listed all servers from the store; the store gives all readers one bandwidth, each listing was left after 2 s and begun anew, and none ended. A record that no listing shows (a deletion as the newest) made every VM list twice.

- A listing keeps its pages and continues with the one that failed (platform.Listing).
What the first page's end counts and no item shows is read from the log, not by a second listing.
- A VM without records of a topic that knows more VMs than form a mesh waits for a peer's: the readers list, the others in stages that double (freshness.ListingDelay), at most 3.5 s after it has read the list of VMs.
It leaves a listing between two pages once a peer has all records.
- A peer's reply to a VM without records is packed (DEFLATE) and kept; VMs spread their calls over the peers that have read as far, those of their own zone first.
Older builds ask for and get unpacked records.
- Pages of a listing that takes longer than 1 s are in force before the last one.
- A VM that finds its registration in the store does not append it again.
- The tables of servers are indexed by service and address; a put took time that grew with the servers, twice.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -703,6 +703,7 @@
 // document topic or, if inDocumentTopic is false, in the servers topic, and the
 // end offset up to which it has read.
 func (c *Core) FurthestReader(inDocumentTopic bool, now time.Time) (address string, end storelog.Position) {
+	var best *peer
 	for _, p := range c.heard {
 		if !c.isFresh(p.lastReceivedAt, now) {
 			continue
@@ -711,11 +712,23 @@
 		if inDocumentTopic {
 			at = p.documentEnd
 		}
-		if at > end || at == end && at > 0 && p.PeerAddress < address {
-			address, end = p.PeerAddress, at
+		if at > end || at == end && at > 0 && c.isPreferred(p, best) {
+			best, end = p, at
 		}
 	}
-	return address, end
+	if best == nil {
+		return "", 0
+	}
+	return best.PeerAddress, end
+}
+
+// isPreferred reports whether this VM asks p rather than q for records that both have: VMs of
+// its own zone first, and others than other VMs ask, as all may ask at the same time.
+func (c *Core) isPreferred(p, q *peer) bool {
+	if here := p.AvailabilityZone == c.self.AvailabilityZone; here != (q.AvailabilityZone == c.self.AvailabilityZone) {
+		return here
+	}
+	return cmp.Or(cmp.Compare(p.hash^c.hash, q.hash^c.hash), cmp.Compare(p.PeerAddress, q.PeerAddress)) < 0
 }
 
 // Confirmation is the last time at which the store has confirmed a copy of a topic, and the
--- a/internal/coordination/topicview/topicview.go
+++ b/internal/coordination/topicview/topicview.go
@@ -51,6 +51,8 @@
 	// end is the position up to which the topic is known, and completeFrom the one from
 	// which on every record has been read.
 	end, completeFrom storelog.Position
+	// pagesEra is the era of the records of a listing that was not complete.
+	pagesEra uint64
 	// restoreUntil is the end of the time in which writers write their records again,
 	// zero outside of it.
 	restoreUntil time.Time
@@ -78,10 +80,11 @@
 
 // ApplyListing applies the newest records of all keys as of end, and returns the changes. Listings of earlier eras are ignored.
 func (v *View) ApplyListing(records []Record, end storelog.Position, now time.Time) []Change {
-	if end.Era() < v.end.Era() {
+	known := max(v.end.Era(), v.pagesEra)
+	if end.Era() < known {
 		return nil
 	}
-	if end.Era() > v.end.Era() && len(v.entries) > 0 {
+	if end.Era() > known && len(v.entries) > 0 {
 		v.beginEra(now)
 	}
 	var changes []Change
@@ -104,6 +107,20 @@
 	return changes
 }
 
+// ApplyPage applies records of a listing that is not complete, if the view knows nothing of the
+// topic yet, and returns the changes. The view's end stays: other records are still missing.
+func (v *View) ApplyPage(records []Record) []Change {
+	if v.end > 0 {
+		return nil
+	}
+	var changes []Change
+	for _, r := range records {
+		v.pagesEra = max(v.pagesEra, r.Position.Era())
+		changes = v.apply(changes, r, true)
+	}
+	return changes
+}
+
 // ApplyRecords applies the records between the view's end and end. Records of another era
 // than the view's are ignored.
 func (v *View) ApplyRecords(records []Record, end storelog.Position) []Change {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -108,6 +108,7 @@
 	mu        sync.Mutex
 	byID      map[string]*backend
 	byService map[string][]*backend
+	byAddress map[string][]*backend
 	peerLoads map[string]peerLoad
 	// activeKeys holds the keys of peerLoads that are counted at present, with
 	// the number of VMs that each covers.
@@ -151,6 +152,7 @@
 		startedAt: time.Now(),
 		byID:      map[string]*backend{},
 		byService: map[string][]*backend{},
+		byAddress: map[string][]*backend{},
 		peerLoads: map[string]peerLoad{},
 		totals:    map[uint32]placement.Load{},
 		health:    h,
@@ -221,7 +223,7 @@
 	})
 	t.byID[s.ID] = b
 	t.health.Add(healthKey(&s), now)
-	t.reindex()
+	t.index(old, b)
 	return previous, known
 }
 
@@ -398,19 +400,6 @@
 	return limited
 }
 
-// othersAt returns the IDs of the servers at an address other than the given one.
-func (t *backendTable) othersAt(address, id string) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []string
-	for other, b := range t.byID {
-		if other != id && b.info.Address == address {
-			out = append(out, other)
-		}
-	}
-	return out
-}
-
 // sweep deletes servers whose removal is longer ago than maxUseAfterRemoval, drops
 // expired cached parts and peer loads, and closes idle connections.
 func (t *backendTable) sweep(now time.Time) {
@@ -447,14 +436,6 @@
 	}
 }
 
-// reindex rebuilds byService. The caller must hold the lock.
-func (t *backendTable) reindex() {
-	t.byService = map[string][]*backend{}
-	for _, b := range t.byID {
-		t.byService[b.info.Service] = append(t.byService[b.info.Service], b)
-	}
-}
-
 // setPeerLoads replaces the loads reported under a key.
 func (t *backendTable) setPeerLoads(key string, loads []gossip.Load, now time.Time) {
 	t.mu.Lock()
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -20,16 +20,16 @@
 	// readGrace is the time for which a read is waited for after the store should have
 	// answered it.
 	readGrace = 700 * time.Millisecond
-	// newestTimeout bounds a read of the newest record of every key.
+	// newestTimeout bounds a read of the newest record of every key, or of a page of them.
 	newestTimeout = 2 * time.Second
 	// storeBackoff is the initial pause after a failed call, doubled up to
 	// maxStoreBackoff. The store counts rejected calls too.
 	storeBackoff    = 150 * time.Millisecond
 	maxStoreBackoff = 600 * time.Millisecond
-	// relayTimeoutStoreDown bounds a call to a peer that has read further while the store
-	// can't be read. A large document takes long if many nodes read it from a peer with a
-	// slow link.
-	relayTimeoutStoreDown = 2500 * time.Millisecond
+	// relayTimeoutAll bounds a call to a peer that has read further while the store can't be
+	// read, and the call of a node that has no records yet. A large document takes long if
+	// many nodes read it from a peer with a slow link.
+	relayTimeoutAll = 2500 * time.Millisecond
 	// relayBackoff is the time for which a node reads only the store after a
 	// failed call to a peer.
 	relayBackoff = 1500 * time.Millisecond
@@ -68,6 +68,8 @@
 	view        *topicview.View
 	confirmedAt time.Time
 
+	packed packedReply
+
 	// The fields below are used only by the goroutine of run. synced is set while
 	// no records are missing since the last listing of all keys.
 	synced bool
@@ -76,6 +78,8 @@
 	inStep bool
 	// nextRelayAt is the earliest time of the next call to a peer.
 	nextRelayAt time.Time
+	// listing is a listing of all keys that has not ended yet, nil if there is none.
+	listing *listing
 }
 
 func newFollower(n *Node, topic string, bound func() time.Duration, version func(string, []byte) (topicview.Version, bool), apply func(topicview.Change)) *follower {
@@ -121,6 +125,10 @@
 		var err error
 		switch {
 		case !f.synced:
+			if wait := f.listingWait(); wait > 0 {
+				f.waitForWakeup(ctx, wait)
+				continue
+			}
 			err = f.readAll(ctx)
 		case ahead || doubtIn <= 0:
 			err = f.check(ctx, ahead)
@@ -142,7 +150,7 @@
 			f.node.log.Event("store", "other-era", "topic", f.topic, "from", f.end(), "error", err)
 			f.synced = false
 			sleep(ctx, storeBackoff)
-		case errors.Is(err, errPeerAhead):
+		case errors.IsAny(err, errPeerAhead, errListingWaits):
 		default:
 			f.recordFailure(err)
 			f.expireWithoutStore(ahead)
@@ -295,17 +303,18 @@
 func (f *follower) readFromPeer(ctx context.Context, address string) bool {
 	from := f.end()
 	timeout := f.schedule().RelayTimeout()
-	if f.isFailing() {
-		timeout = relayTimeoutStoreDown
+	if f.isFailing() || from == 0 {
+		timeout = relayTimeoutAll
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := relayapi.FetchRecords(ctx, f.node.peerPool.Conn(ctx, address), &relayapi.RecordsRequest{Topic: f.topic, From: from})
+	reply, err := relayapi.FetchRecords(ctx, f.node.peerPool.Conn(ctx, address), &relayapi.RecordsRequest{Topic: f.topic, From: from, TakesPacked: true})
 	if err != nil {
 		f.node.log.Failure("store", "relay-failed", "topic", f.topic, "peer", address, "error", err)
 		return false
 	}
 	f.applyReply(reply)
+	f.listing = nil
 	f.expire()
 	f.node.log.Event("store", "relayed", "topic", f.topic, "peer", address, "records", len(reply.Records), "full", reply.Full, "from", from, "end", reply.End)
 	f.synced = f.end().Era() == reply.End.Era()
@@ -331,48 +340,6 @@
 	return &relayapi.RecordsReply{Records: records, End: f.view.End(), Full: full}
 }
 
-// readAll reads the newest record of each key, at the start and after a gap.
-func (f *follower) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	startedAt := f.node.now()
-	items, end, err := f.listNewest(ctx)
-	if err != nil {
-		return err
-	}
-	records := make([]topicview.Record, 0, len(items))
-	for _, it := range items {
-		records = append(records, topicview.Record{Key: it.Key, Value: it.Value, Position: it.Position})
-	}
-	f.update(func(v *topicview.View) []topicview.Change { return v.ApplyListing(records, end, f.node.now()) })
-	f.confirm(startedAt)
-	f.inStep = true
-	return nil
-}
-
-// listNewest returns the newest record of each key, and an end offset before
-// which no record is missing. The store's end offset may already count a record
-// that the returned items lack; the items are then read again.
-func (f *follower) listNewest(ctx context.Context) ([]platform.Item, storelog.Position, error) {
-	items, end, err := f.node.platform.ListNewest(ctx, f.topic)
-	if err != nil {
-		return nil, 0, err
-	}
-	for _, it := range items {
-		if it.Position+1 >= end {
-			return items, end, nil
-		}
-	}
-	if end.Offset() == 0 {
-		return items, end, nil
-	}
-	items, again, err := f.node.platform.ListNewest(ctx, f.topic)
-	if err == nil && again.Era() != end.Era() {
-		end = again
-	}
-	return items, end, err
-}
-
 // check asks the store for new records, without waiting for any. isBehind is true if a peer
 // has reported more records.
 func (f *follower) check(ctx context.Context, isBehind bool) error {
@@ -497,9 +464,9 @@
 func (n *Node) Records(_ context.Context, in *relayapi.RecordsRequest) (*relayapi.RecordsReply, error) {
 	switch in.Topic {
 	case platform.OperatorTopic:
-		return n.operatorFollower.recordsSince(in.From), nil
+		return n.operatorFollower.reply(in)
 	case platform.ServersTopic:
-		return n.serverFollower.recordsSince(in.From), nil
+		return n.serverFollower.reply(in)
 	}
 	return nil, errors.Newf("topic %q is not relayed", in.Topic)
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -35,7 +36,10 @@
 	registerInterval = time.Second
 	// membersTimeout bounds the time for which a node that can't read the list of
 	// VMs waits for their digests. It serves requests after that.
-	membersTimeout   = 2 * time.Second
+	membersTimeout = 2 * time.Second
+	// vmsKnownTimeout bounds the time for which a node waits for the list of VMs before it
+	// lists other topics.
+	vmsKnownTimeout  = 600 * time.Millisecond
 	maxDatagramBytes = 60 << 10
 	// earlyDigestGap is the minimum time between digests that are sent early
 	// because this node has read new records.
@@ -52,8 +56,12 @@
 	// all VMs has been read.
 	startedAt time.Time
 	vmsListed atomic.Bool
+	// vmsKnown is set at vmsKnownAt, once a list of VMs has been read, which may lack those
+	// that start at the same time.
+	vmsKnown atomic.Bool
 
 	mu          sync.Mutex
+	vmsKnownAt  time.Time
 	core        *gossip.Core
 	sequence    uint64
 	earlyDigest chan struct{}
@@ -172,8 +180,10 @@
 	Capacity int    `json:"capacity"`
 }
 
-// register writes this VM's registration to the store and reads those of all VMs. After
-// the store has come back from a copy, which may lack the registration, it writes it again.
+// register reads the registrations of all VMs from the store and writes this VM's own unless
+// it is there already. A VM that has written its own reads those of all VMs once more: of two
+// VMs that register at the same time at least one reads the other's. After the store has come
+// back from a copy, which may lack the registration, it writes it again.
 func (m *members) register(ctx context.Context) {
 	n := m.node
 	own, err := json.Marshal(registration{Peer: n.settings.PeerAddress, Zone: n.settings.AvailabilityZone, Capacity: int(n.settings.LinkMbps)})
@@ -181,37 +191,60 @@
 		n.log.Failure("members", "not-encoded", "error", err)
 		return
 	}
-	var registeredAt storelog.Position
-	registered, listed := false, false
+	r := &registrar{members: m, own: own}
 	for ctx.Err() == nil {
-		registered = registered && registeredAt.Era() >= n.storeEra()
-		if registered && listed {
+		r.registered = r.registered && r.registeredAt.Era() >= n.storeEra()
+		if r.registered && r.listed {
 			sleep(ctx, registerInterval)
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, newestTimeout)
-		var err error
-		if !registered {
-			registeredAt, err = n.platform.Append(callCtx, vmsTopic, platform.EncodeKeyed(n.settings.VM, own))
-			registered = err == nil
-		}
-		var items []platform.Item
-		if err == nil && !listed {
-			items, _, err = n.platform.ListNewest(callCtx, vmsTopic)
-		}
-		cancel()
-		switch {
-		case err != nil:
+		if err := r.step(ctx); err != nil {
 			n.log.Failure("members", "not-registered", "error", err)
 			sleep(ctx, registerInterval)
-		case !listed:
-			listed = true
-			m.addRegistered(items)
 		}
 	}
 }
 
-func (m *members) addRegistered(items []platform.Item) {
+// registrar registers this VM in the store.
+type registrar struct {
+	members *members
+	own     []byte
+	// registered is set while the store holds this VM's registration, which was seen or
+	// written at registeredAt. listed is set once the registrations of all VMs were read
+	// while it did.
+	registered, listed bool
+	registeredAt       storelog.Position
+}
+
+// step makes the next call.
+func (r *registrar) step(ctx context.Context) error {
+	n := r.members.node
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	if !r.registered && (r.listed || r.members.vmsKnown.Load()) {
+		at, err := n.platform.Append(ctx, vmsTopic, platform.EncodeKeyed(n.settings.VM, r.own))
+		if err == nil {
+			r.registered, r.registeredAt = true, at
+		}
+		return err
+	}
+	items, _, err := n.platform.ListNewest(ctx, vmsTopic)
+	if err != nil {
+		return err
+	}
+	for _, it := range items {
+		if it.Key == n.settings.VM && bytes.Equal(it.Value, r.own) {
+			r.registered, r.registeredAt = true, it.Position
+		}
+	}
+	r.listed = r.registered
+	r.members.addRegistered(items, r.listed)
+	return nil
+}
+
+// addRegistered adds the registered VMs. isFinal is true if this VM's own registration was
+// among them.
+func (m *members) addRegistered(items []platform.Item, isFinal bool) {
 	for _, it := range items {
 		var r registration
 		if err := json.Unmarshal(it.Value, &r); err != nil {
@@ -221,8 +254,31 @@
 		m.add(gossip.Identity{VM: it.Key, PeerAddress: r.Peer, AvailabilityZone: r.Zone, LinkMbps: r.Capacity})
 	}
 	m.updateTables()
-	m.vmsListed.Store(true)
-	m.node.log.Event("members", "registered", "vms", len(items))
+	if !m.vmsKnown.Load() {
+		m.mu.Lock()
+		m.vmsKnownAt = m.node.now()
+		m.mu.Unlock()
+		m.vmsKnown.Store(true)
+	}
+	if isFinal {
+		m.vmsListed.Store(true)
+		m.node.log.Event("members", "registered", "vms", len(items))
+	}
+}
+
+// listingTime returns the time from which on this node may list the store's topics if no peer
+// passes their records on, and whether it knows the other VMs. Otherwise the time is that
+// until which it waits for them.
+func (m *members) listingTime(now time.Time) (at time.Time, known bool) {
+	if !m.vmsKnown.Load() {
+		return m.startedAt.Add(vmsKnownTimeout), false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.core.IsMesh(now) {
+		return m.vmsKnownAt, true
+	}
+	return m.vmsKnownAt.Add(freshness.ListingDelay(m.core.ReaderRole(now))), true
 }
 
 // canShareLimits reports whether this node can share limits with its peers: it
--- a/internal/protocol/relayapi/relayapi.go
+++ b/internal/protocol/relayapi/relayapi.go
@@ -28,6 +28,8 @@
 type RecordsRequest struct {
 	Topic string            `json:"topic"`
 	From  storelog.Position `json:"from"`
+	// TakesPacked is true if the reply may hold its records in Packed.
+	TakesPacked bool `json:"takes_packed,omitempty"`
 }
 
 // RecordsReply is the answer to a RecordsRequest. End is the position after the
@@ -39,6 +41,8 @@
 	// another era, or if the peer has not read every record since then and thus lacks
 	// the deleted keys.
 	Full bool `json:"full,omitempty"`
+	// Packed holds the records, compressed, instead of Records. See PackRecords.
+	Packed []byte `json:"packed,omitempty"`
 }
 
 // PermitRequest asks for a permit for a server, given by the short hash of its ID, with its
@@ -120,7 +124,7 @@
 	if err := conn.Invoke(ctx, RecordsMethod, jsonEncoding{}, in, out); err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
-	return out, nil
+	return out, out.unpack()
 }
 
 // AskPermit makes the call for a permit to the peer at the other end of conn.
