--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -94,6 +94,7 @@
 	mu        sync.Mutex
 	byID      map[string]*backend
 	byService map[string][]*backend
+	byAddress map[string][]*backend
 	peerLoads map[string]peerLoad
 	// activeKeys holds the keys of peerLoads that are counted at present, with
 	// the number of VMs that each covers.
@@ -141,6 +142,7 @@
 		startedAt: time.Now(),
 		byID:      map[string]*backend{},
 		byService: map[string][]*backend{},
+		byAddress: map[string][]*backend{},
 		peerLoads: map[string]peerLoad{},
 		totals:    map[uint32]placement.Load{},
 		health:    h,
@@ -221,7 +223,7 @@
 	})
 	t.byID[s.ID] = b
 	t.health.Add(healthKey(&s), now)
-	t.reindex()
+	t.index(old, b)
 	return previous, known
 }
 
@@ -348,19 +350,6 @@
 	return "", "", false
 }
 
-// othersAt returns the IDs of the servers at an address other than the given one.
-func (t *backendTable) othersAt(address, id string) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []string
-	for other, b := range t.byID {
-		if other != id && b.info.Address == address {
-			out = append(out, other)
-		}
-	}
-	return out
-}
-
 // sweep deletes servers whose removal is longer ago than maxUseAfterRemoval, drops
 // expired cached parts and peer loads, and closes idle connections.
 func (t *backendTable) sweep(now time.Time) {
@@ -397,14 +386,6 @@
 	}
 }
 
-// reindex rebuilds byService. The caller must hold the lock.
-func (t *backendTable) reindex() {
-	t.byService = map[string][]*backend{}
-	for _, b := range t.byID {
-		t.byService[b.info.Service] = append(t.byService[b.info.Service], b)
-	}
-}
-
 // servers returns the entries of a service's servers, without removed ones.
 func (t *backendTable) servers(service string) []deployment.Server {
 	return t.serversWhere(service, func(*backend) bool { return true })
