gossip: digests that waited for the end of a suspension are dropped

A VM that wakes receives first what was sent to it while it was suspended. It took senders that had ended meanwhile for reachable, named them to callers, and as a hub listed them to others.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -79,6 +79,10 @@
 	unansweredSince time.Time
 	lastSentAt      time.Time
 
+	// clockOffset is the peer's time of day when it sent the last digest that was applied,
+	// less the time of its arrival.
+	clockOffset time.Duration
+
 	sequence     map[Kind]uint64
 	incarnation  uint64
 	ownDigest    *Digest
@@ -231,7 +235,10 @@
 	self       Identity
 	hash       uint64
 	lastTickAt time.Time
-	peers      map[string]*peer
+	// queuedUntil is the end of the time after a suspension in which digests may arrive that
+	// were sent during it.
+	queuedUntil time.Time
+	peers       map[string]*peer
 	// heard holds the peers from which a digest has ever arrived. With hubs they are few.
 	heard []*peer
 	// shape is valid for shapeTTL after shapedAt, unless a change of the peers has
@@ -394,7 +401,7 @@
 		p.zoneTotals.reset()
 		p.allTotals.reset()
 	}
-	if d.Sequence <= p.sequence[d.Kind] {
+	if d.Sequence <= p.sequence[d.Kind] || c.isQueued(p, d, now) {
 		return Update{}, false
 	}
 	p.sequence[d.Kind] = d.Sequence
--- a/internal/coordination/gossip/messages.go
+++ b/internal/coordination/gossip/messages.go
@@ -17,6 +17,7 @@
 // holder, the holder's last report.
 func (c *Core) Tick(own Digest, now time.Time) []Message {
 	c.sequence++
+	c.noteSuspension(now)
 	c.resetAfterPause(now)
 	own.Identity, own.Kind, own.Sequence = c.self, Own, c.sequence
 	if own.HolderAddress == "" {
