quota: workspaces far over their quotas exceeded them while VMs lost power

Causes, shown by a deployment of VMs that exchange the digests of package gossip without a network:

- A VM whose hub dies takes another one's totals.
Those of its first digest were the baseline, so what all VMs had admitted since the last digest of the old hub was not counted, and what had been assumed for them was returned as unused.
Growth that other hubs report is kept now until the selected hub has reported it, the update says if it lacks some, and the assumed share is kept then.
- A silent peer used nothing for the first second, also if it never reported that second, and its burst was left to the VMs that did not hear of it: each side of a partition could spend the whole burst.
The share is assumed from the last report on, after 700 ms, and the bucket's capacity is that of the VMs from which reports arrive.
- Names of peers change with the hubs.
Peers under new names started as responsive ones.
- What others admit is known 300 ms late on average.
A VM now expects that they go on as in their last reports and leaves that much in the bucket.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -166,6 +166,9 @@
 // totals holds the counters of the workspaces' quotas and the services' work.
 type totals struct {
 	admitted, work counters
+	// unselectedAdmitted is the growth since the last digest of the selected source, if
+	// these are the totals of another one.
+	unselectedAdmitted map[uint32]uint64
 	// hasAdmittedBaseline and hasWorkBaseline are true once a digest has been
 	// accumulated. The totals of the first digest are the baseline for the later
 	// ones; a key that is missing from it counts from zero.
@@ -176,23 +179,47 @@
 func (t *totals) reset() {
 	t.admitted.highestTotals, t.work.highestTotals = nil, nil
 	t.hasAdmittedBaseline, t.hasWorkBaseline = false, false
+	t.unselectedAdmitted = nil
+}
+
+// restart lets the totals of a sender's new process count from zero. If the sender has not
+// reported before, the next digest sets new baselines.
+func (t *totals) restart() {
+	t.admitted.highestTotals, t.work.highestTotals = nil, nil
 }
 
 // accumulate records the totals of a digest and adds their growth to into, which
 // is nil for a sender that is not the selected source. Its totals are recorded
-// nevertheless, so that no growth is lost or counted twice once it is selected.
-func (t *totals) accumulate(d *Digest, into *totals) {
+// nevertheless, so that no growth is lost or counted twice once it is selected. It reports
+// whether what was admitted since the last digest of the selected source is known.
+func (t *totals) accumulate(d *Digest, into *totals) (isKnown bool) {
 	isBaseline := !t.hasAdmittedBaseline
 	t.hasAdmittedBaseline = true
 	for _, q := range d.AdmittedTotals {
-		if growth := t.admitted.observe(q.Workspace, q.Total, isBaseline); into != nil {
-			into.admitted.add(q.Workspace, growth)
+		growth := t.admitted.observe(q.Workspace, q.Total, isBaseline)
+		if into == nil {
+			t.addUnselected(q.Workspace, growth)
+			continue
 		}
+		into.admitted.add(q.Workspace, growth+t.unselectedAdmitted[q.Workspace])
+		delete(t.unselectedAdmitted, q.Workspace)
 	}
+	t.accumulateWork(d, into)
+	return !isBaseline
+}
+
+func (t *totals) addUnselected(workspace uint32, growth uint64) {
+	if t.unselectedAdmitted == nil {
+		t.unselectedAdmitted = map[uint32]uint64{}
+	}
+	t.unselectedAdmitted[workspace] += growth
+}
+
+func (t *totals) accumulateWork(d *Digest, into *totals) {
 	if len(d.Work) == 0 {
 		return
 	}
-	isBaseline = !t.hasWorkBaseline
+	isBaseline := !t.hasWorkBaseline
 	t.hasWorkBaseline = true
 	for _, w := range d.Work {
 		if growth := t.work.observe(w.Service, w.Millis, isBaseline); into != nil {
@@ -221,6 +248,9 @@
 	Key            string
 	Loads          []Load
 	AdmittedTotals []AdmittedTotal
+	// LacksAdmitted is true if AdmittedTotals lack what was admitted since the last update,
+	// as the digest is the first one of its source.
+	LacksAdmitted bool
 	Work           []Work
 	Moves          []Move
 }
@@ -390,7 +420,7 @@
 	if d.Incarnation > p.incarnation {
 		p.incarnation = d.Incarnation
 		p.sequence = map[Kind]uint64{}
-		p.ownTotals.reset()
+		p.ownTotals.restart()
 		p.zoneTotals.reset()
 		p.allTotals.reset()
 	}
@@ -458,16 +488,16 @@
 	switch d.Kind {
 	case Own:
 		p.ownDigest, p.ownDigestAt = d, now
-		p.ownTotals.accumulate(d, &p.ownTotals)
-		return updateOf(d.VM, d, &p.ownTotals), true
+		isKnown := p.ownTotals.accumulate(d, &p.ownTotals)
+		return updateOf(d.VM, d, &p.ownTotals, isKnown), true
 	case Zone:
 		return c.applyZoneDigest(p, d, now), true
 	}
 	return c.applyAllDigest(p, d, now), true
 }
 
-func updateOf(key string, d *Digest, sums *totals) Update {
-	u := Update{Key: key, Loads: d.Loads, Moves: d.Moves}
+func updateOf(key string, d *Digest, sums *totals, isKnown bool) Update {
+	u := Update{Key: key, Loads: d.Loads, Moves: d.Moves, LacksAdmitted: !isKnown}
 	u.AdmittedTotals, u.Work = sums.entries()
 	return u
 }
@@ -494,8 +524,24 @@
 	if c.zoneTotals[zone] == nil {
 		c.zoneTotals[zone] = &totals{}
 	}
-	p.zoneTotals.accumulate(d, c.zoneTotals[zone])
-	return updateOf("zone:"+zone, d, c.zoneTotals[zone])
+	isKnown := p.zoneTotals.accumulate(d, c.zoneTotals[zone])
+	c.forgetUnselected(d.PeerAddress, zone)
+	return updateOf("zone:"+zone, d, c.zoneTotals[zone], isKnown)
+}
+
+// forgetUnselected lets the growth that other hubs of a zone report count from now on, as
+// the selected one has just reported it.
+func (c *Core) forgetUnselected(selected, zone string) {
+	for _, p := range c.heard {
+		if p.AvailabilityZone != zone || p.PeerAddress == selected {
+			continue
+		}
+		if zone == c.self.AvailabilityZone {
+			clear(p.allTotals.unselectedAdmitted)
+		} else {
+			clear(p.zoneTotals.unselectedAdmitted)
+		}
+	}
 }
 
 // applyAllDigest applies the aggregate over all VMs. It uses the digests of only
@@ -524,8 +570,9 @@
 		c.allHub = d.PeerAddress
 	}
 	c.allReceivedAt, c.allCount = now, d.Count+1
-	p.allTotals.accumulate(d, &c.allTotals)
-	return updateOf("all", d, &c.allTotals)
+	isKnown := p.allTotals.accumulate(d, &c.allTotals)
+	c.forgetUnselected(d.PeerAddress, c.self.AvailabilityZone)
+	return updateOf("all", d, &c.allTotals, isKnown)
 }
 
 // subscribers returns the VMs of this zone that send their Own digests to this VM.
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -19,8 +19,8 @@
 }
 
 // UnresponsiveTimeout is the time without a report after which a peer is assumed
-// to use its even share.
-const UnresponsiveTimeout = time.Second
+// to have used its even share since its last report. Three reports are missing then.
+const UnresponsiveTimeout = 700 * time.Millisecond
 
 // Limiter holds the buckets of all workspaces.
 type Limiter struct {
@@ -60,8 +60,13 @@
 	// recentOwnCost and recentPeerCost are the costs recently admitted by this node
 	// and by its peers, decaying with recentCostWindow.
 	recentOwnCost, recentPeerCost float64
-	// nodes is the number of nodes that shared the limit at the last refill.
-	nodes int
+	// unreportedCost is the cost that peers are expected to have admitted without having
+	// reported it yet, if they go on as in their last reports. It decays with reportDelay.
+	unreportedCost float64
+	// nodes is the number of nodes that shared the limit at the last refill, and
+	// responsiveShare the share of those from which reports arrive, this one included.
+	nodes           int
+	responsiveShare float64
 	// contended is true from the time at which the bucket was far overdrawn until
 	// it has been full for minFullTime. Meanwhile this node draws only from its
 	// own share.
@@ -110,12 +115,12 @@
 	for name, l := range limits {
 		b, ok := s.buckets[name]
 		if !ok {
-			b = &bucket{refilledAt: now, startedAt: now, reports: map[string]*report{}}
+			b = &bucket{refilledAt: now, startedAt: now, responsiveShare: 1, reports: map[string]*report{}}
 			s.buckets[name] = b
 		}
 		s.refill(b, now)
 		b.limit = l
-		b.level = min(b.level, l.Burst+s.extraBurst)
+		b.level = min(b.level, b.capacity(s.extraBurst))
 		if !ok {
 			b.shareLevel = startupShareWindow.Seconds() * b.evenRate(s.nodes())
 		}
@@ -134,7 +139,7 @@
 // has been full for minFullTime, which can't happen while the demand exceeds the
 // quota.
 func (b *bucket) updateContended(extraBurst float64) {
-	full := b.level >= fullShare*(b.limit.Burst+extraBurst)
+	full := b.level >= fullShare*b.capacity(extraBurst)
 	switch {
 	case !full:
 		b.fullSince = time.Time{}
@@ -156,12 +161,14 @@
 	if elapsed <= 0 {
 		return
 	}
+	refilledAt := b.refilledAt
 	b.refilledAt = now
 	nodes := s.nodes()
 	b.nodes = nodes
 	decay := math.Exp(-elapsed / recentCostWindow.Seconds())
 	b.recentOwnCost *= decay
 	b.recentPeerCost *= decay
+	b.unreportedCost *= math.Exp(-elapsed / reportDelay.Seconds())
 	switch {
 	case b.isStarting(now):
 		b.shareLevel = min(b.shareLevel+b.evenRate(nodes)*elapsed, startupShareWindow.Seconds()*b.evenRate(nodes))
@@ -169,18 +176,41 @@
 		ownRate := b.limit.PerSecond * b.ownFraction()
 		b.shareLevel = min(b.shareLevel+ownRate*elapsed, shareWindow.Seconds()*ownRate)
 	}
+	b.level += b.limit.PerSecond * elapsed
+	responsive := nodes
 	for name, p := range s.peers {
 		if now.Sub(p.receivedAt) <= UnresponsiveTimeout {
 			continue
 		}
-		share := b.limit.PerSecond * float64(p.nodes) / float64(nodes) * elapsed
-		b.reportOf(name).assumedCost += share
-		b.level -= share
+		responsive -= p.nodes
+		b.assumeShare(name, p, nodes, refilledAt, now)
 	}
-	b.level = min(b.level+b.limit.PerSecond*elapsed, b.limit.Burst+s.extraBurst)
+	b.responsiveShare = float64(responsive) / float64(nodes)
+	b.level = min(b.level, b.capacity(s.extraBurst))
 	b.updateContended(s.extraBurst)
 }
 
+// assumeShare subtracts the share of a peer from which no report arrives: since the last
+// refill or, at first, since its last report.
+func (b *bucket) assumeShare(name string, p *peer, nodes int, refilledAt, now time.Time) {
+	from := refilledAt
+	if refilledAt.Sub(p.receivedAt) <= UnresponsiveTimeout {
+		from = p.receivedAt
+	}
+	if from.Before(b.startedAt) {
+		from = b.startedAt
+	}
+	share := b.limit.PerSecond * float64(p.nodes) / float64(nodes) * now.Sub(from).Seconds()
+	b.reportOf(name).assumedCost += share
+	b.level -= share
+}
+
+// capacity returns the most that the bucket may hold. The shares of nodes from which no
+// reports arrive are left to them.
+func (b *bucket) capacity(extraBurst float64) float64 {
+	return (b.limit.Burst + extraBurst) * b.responsiveShare
+}
+
 // isStarting reports whether less than startupTime has passed since startedAt.
 func (b *bucket) isStarting(now time.Time) bool { return now.Sub(b.startedAt) < startupTime }
 
@@ -233,7 +263,7 @@
 // it can be admitted now. A request larger than the bucket is admitted when the
 // bucket is full.
 func (b *bucket) waitTime(cost, extraBurst float64, now time.Time) time.Duration {
-	have, need, perSecond := b.level, min(cost, b.limit.Burst+extraBurst), b.limit.PerSecond
+	have, need, perSecond := b.level-b.unreportedCost, min(cost, b.capacity(extraBurst)), b.limit.PerSecond*max(b.responsiveShare, 1/float64(max(b.nodes, 1)))
 	switch {
 	case b.isStarting(now):
 		perSecond = b.evenRate(max(b.nodes, 1))
@@ -254,6 +284,8 @@
 	// recentCostWindow is the time constant with which recently admitted costs
 	// decay.
 	recentCostWindow = 5 * time.Second
+	// reportDelay is the usual time from an admission until all nodes have its report.
+	reportDelay = 300 * time.Millisecond
 	// contendedShare is the share of a bucket that has to be overdrawn before
 	// nodes draw only from their own shares. A few large requests at once do not
 	// reach it.
@@ -299,7 +331,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b, ok := s.buckets[name]; ok && b.limit.PerSecond > 0 {
-		b.level = min(b.level+cost, b.limit.Burst+s.extraBurst)
+		b.level = min(b.level+cost, b.capacity(s.extraBurst))
 		b.admittedCost -= min(uint64(cost), b.admittedCost)
 	}
 }
@@ -325,12 +357,17 @@
 	for _, b := range s.buckets {
 		s.refill(b, now)
 	}
+	receivedAt := now
+	if s.isUnresponsivePeerMissing(nodes, now) {
+		// The nodes have not been heard of under their earlier name either.
+		receivedAt = now.Add(-UnresponsiveTimeout - 1)
+	}
 	for name, n := range nodes {
 		if p, ok := s.peers[name]; ok {
 			p.nodes = n
 			continue
 		}
-		s.peers[name] = &peer{receivedAt: now, nodes: n}
+		s.peers[name] = &peer{receivedAt: receivedAt, nodes: n}
 	}
 	for name := range s.peers {
 		if _, ok := nodes[name]; ok {
@@ -343,9 +380,21 @@
 	}
 }
 
+// isUnresponsivePeerMissing reports whether nodes lacks a peer that is unresponsive.
+func (s *Limiter) isUnresponsivePeerMissing(nodes map[string]int, now time.Time) bool {
+	for name, p := range s.peers {
+		if _, ok := nodes[name]; !ok && now.Sub(p.receivedAt) > UnresponsiveTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // ApplyTotals applies a peer's report of the totals admitted by its nodes. Totals
-// decrease only by refunds. The first report is the baseline of the next ones.
-func (s *Limiter) ApplyTotals(name string, totals map[string]uint64, now time.Time) {
+// decrease only by refunds. The first report is the baseline of the next ones. If
+// lacksAdmitted is true, the totals lack what the nodes have admitted since the last report.
+// They are assumed to have used their shares.
+func (s *Limiter) ApplyTotals(name string, totals map[string]uint64, lacksAdmitted bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.buckets {
@@ -356,13 +405,35 @@
 		p = &peer{nodes: 1}
 		s.peers[name] = p
 	}
-	isBaseline := !p.hasReported
-	p.receivedAt, p.hasReported = now, true
-	for workspace, total := range totals {
-		if b, ok := s.buckets[workspace]; ok {
-			b.applyTotal(name, total, isBaseline, s.extraBurst)
+	lacksAdmitted = lacksAdmitted || !p.hasReported
+	for workspace, b := range s.buckets {
+		total, hasTotal := totals[workspace]
+		if lacksAdmitted && hasTotal {
+			b.keepAssumed(name, p, s.nodes(), now)
+		} else {
+			b.returnAssumed(name, s.extraBurst)
+		}
+		if hasTotal {
+			b.applyTotal(name, total, !p.hasReported, s.extraBurst)
 		}
 	}
+	p.receivedAt, p.hasReported = now, true
+}
+
+// keepAssumed lets a peer's nodes count as having used their shares since its last report.
+func (b *bucket) keepAssumed(name string, p *peer, nodes int, now time.Time) {
+	if !p.receivedAt.IsZero() && now.Sub(p.receivedAt) <= UnresponsiveTimeout {
+		b.assumeShare(name, p, nodes, p.receivedAt, now)
+	}
+	b.reportOf(name).assumedCost = 0
+}
+
+// returnAssumed returns the amount subtracted for a peer while it was unresponsive. What it
+// has used of that is known.
+func (b *bucket) returnAssumed(name string, extraBurst float64) {
+	r := b.reportOf(name)
+	b.level = min(b.level+r.assumedCost, b.limit.Burst+extraBurst)
+	r.assumedCost = 0
 }
 
 func (b *bucket) applyTotal(name string, total uint64, isBaseline bool, extraBurst float64) {
@@ -371,12 +442,11 @@
 		r.lastTotal = total
 		return
 	}
-	// The difference is negative after a refund. Of the amount subtracted while
-	// the peer was unresponsive, the part that the peer has not used is returned.
+	// The difference is negative after a refund.
 	admittedCost := float64(int64(total - r.lastTotal))
 	r.lastTotal = total
 	b.recentPeerCost += max(admittedCost, 0)
-	b.level = min(b.level+r.assumedCost-admittedCost, b.limit.Burst+extraBurst)
-	r.assumedCost = 0
+	b.unreportedCost += max(admittedCost, 0)
+	b.level = min(b.level-admittedCost, b.limit.Burst+extraBurst)
 	b.updateContended(extraBurst)
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -84,7 +84,7 @@
 		totals := from.limiter.Totals()
 		for j, to := range w.nodes {
 			if i != j && !from.isolated && !to.isolated {
-				to.limiter.ApplyTotals(fmt.Sprint(i), from.cumulative(totals), w.now)
+				to.limiter.ApplyTotals(fmt.Sprint(i), from.cumulative(totals), false, w.now)
 			}
 		}
 	}
@@ -219,7 +219,7 @@
 			for j, to := range w.nodes {
 				for i, totals := range snapshots[len(snapshots)-1-delay] {
 					if i != j {
-						to.limiter.ApplyTotals(fmt.Sprint(i), totals, w.now)
+						to.limiter.ApplyTotals(fmt.Sprint(i), totals, false, w.now)
 					}
 				}
 			}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -391,7 +391,7 @@
 	}
 	n.backends.setPeerLoads(update.Key, update.Loads, now)
 	n.moves.applyReport(update.Key, update.Moves, now)
-	n.quota.ApplyTotals(update.Key, m.quotaTotals(update.AdmittedTotals), now)
+	n.quota.ApplyTotals(update.Key, m.quotaTotals(update.AdmittedTotals), update.LacksAdmitted, now)
 	n.work.update(update.Key, update.Work)
 }
 
