--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -251,8 +251,8 @@
 	// LacksAdmitted is true if AdmittedTotals lack what was admitted since the last update,
 	// as the digest is the first one of its source.
 	LacksAdmitted bool
-	Work           []Work
-	Moves          []Move
+	Work          []Work
+	Moves         []Move
 }
 
 // Core is one VM's view of the deployment. It is not safe for concurrent use.
