--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -168,6 +168,9 @@
 	if q.timeToFirstByte > 0 {
 		n.metrics.firstAnswerSeconds.WithLabelValues(q.routeName()).Observe(q.timeToFirstByte.Seconds())
 	}
+	if q.hasLongPause() {
+		n.metrics.longPauses.WithLabelValues(q.routeName()).Inc()
+	}
 	q.logResult(outcome, reason, status)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,6 +45,8 @@
 	// stream is the answer to the caller, nil until its head has been sent.
 	stream          *httpserver.Stream
 	timeToFirstByte time.Duration
+	// longestPause is the longest time between two events that were forwarded.
+	longestPause time.Duration
 	// predictedFirstToken is the time to the first token that was predicted for the
 	// last attempt.
 	predictedFirstToken time.Duration
@@ -60,8 +62,10 @@
 	// the request is a trial. It is then sent to one server only.
 	trialUnits []uint64
 	trail      string
-	// progressAt is the time of the last event forwarded, or of the request's arrival.
-	progressAt time.Time
+	// progressAt is the time of the last event forwarded, or of the request's arrival, and
+	// hasForwarded is set once an event was forwarded.
+	progressAt   time.Time
+	hasForwarded bool
 	// isCounted is set once the request is counted in its workspace's usage.
 	isCounted bool
 	// moves counts the attempts that were given up for a better one.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	registry           *prometheus.Registry
 	requests           *prometheus.CounterVec
 	firstAnswerSeconds *prometheus.HistogramVec
+	longPauses         *prometheus.CounterVec
 	answerSeconds      *prometheus.HistogramVec
 	attempts           *prometheus.CounterVec
 	answerEnds         *prometheus.CounterVec
@@ -60,6 +61,7 @@
 		registry:           prometheus.NewRegistry(),
 		requests:           counter("requests_total", "Requests by route and outcome.", "route", "outcome"),
 		firstAnswerSeconds: histogram("first_answer_seconds", "Time to the first byte of an answer."),
+		longPauses:         counter("long_pauses_total", "Answers with a pause between two events that is over the route's target.", "route"),
 		answerSeconds:      histogram("answer_seconds", "Time to the end of an answer."),
 		attempts:           counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
 		answerEnds:         counter("answer_ends_total", "Answers of backend servers by service, framing and end.", "service", "framing", "end"),
@@ -109,7 +111,7 @@
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.longPauses, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
 		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -111,10 +112,25 @@
 	if ev.id >= 0 {
 		q.lastEventID = ev.id
 	}
-	q.progressAt = q.node.now()
+	q.recordProgress(q.node.now())
 	return nil
 }
 
+// recordProgress records that an event was forwarded.
+func (q *request) recordProgress(now time.Time) {
+	if q.hasForwarded {
+		q.longestPause = max(q.longestPause, now.Sub(q.progressAt))
+	}
+	q.hasForwarded = true
+	q.progressAt = now
+}
+
+// hasLongPause reports whether two events were forwarded further apart than the route's pause
+// target.
+func (q *request) hasLongPause() bool {
+	return q.longestPause > 0 && q.route.PauseTarget > 0 && q.longestPause > q.route.PauseTarget
+}
+
 // sendHead sends the head of the answer unless it has been sent.
 func (q *request) sendHead(answer *upstream.Answer) (err error) {
 	if q.stream != nil {
