placement: pauses of running answers, targets and speed count in the choice

A prompt was placed by its own time to the first token; servers faster than an ordinary one counted as ordinary, and what a prompt's prefill does to the answers that run on a server counted for nothing. The score now has the expected number of missed targets: the request's own first token, and each answer running there that would pause for longer than the target, as probabilities over the spread of a time around its prediction. A request with a latency target leaves servers faster than an ordinary one to prompts that gain more by them, and the homes of prefixes follow the servers' speed.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -42,7 +42,7 @@
 	// limit.
 	Slots        int
 	MemoryTokens int
-	// Slowdown is the server's slowdown factor, 1 at ordinary speed.
+	// Slowdown is the server's time for the same work over that of an ordinary server.
 	Slowdown float64
 	// Weight is the share of requests that the health checks allow the server,
 	// 0 to 1.
@@ -64,12 +64,18 @@
 	SharedTokens int
 	// PrefixHash is the hash of these shared parts, 0 if there are none.
 	PrefixHash uint64
+	// LatencyTarget is the target for the time to the first token, and PauseTarget that for
+	// the longest pause between two events of an answer; 0 means that there is none.
+	LatencyTarget, PauseTarget time.Duration
 }
 
 const (
 	// homeCachedShare is the share of the shared tokens assumed to be cached on
 	// the prefix's home server if this node has not sent the prefix there itself.
 	homeCachedShare = 0.9
+	// homeSpeedExponent is the power of a server's speed by which it is the home of more
+	// prefixes. It is above 1 as a prompt's prefill delays all answers of its server.
+	homeSpeedExponent = 2.0
 	// recomputeWeight multiplies the time of uncached tokens: computing them
 	// also delays the answers in the same batch and evicts other prefixes from
 	// the cache.
@@ -77,6 +83,14 @@
 	// crossZoneCostMillis is added to the score of a server in another
 	// availability zone.
 	crossZoneCostMillis = 0.5
+	// answerWeight multiplies the time of an answer's tokens, of which
+	// maxWeighedAnswerTokens count at most: each of them waits for the others of its batch.
+	answerWeight           = 0.1
+	maxWeighedAnswerTokens = 400
+	// fastServerCostMillis is added to the score of a server that needs no time at all, and
+	// in proportion to that of others faster than an ordinary one. Requests with a latency
+	// target that have time to spare leave them to prompts that are in time only there.
+	fastServerCostMillis = 120.0
 	// typicalAnswerTokens is the assumed length of each answer that has to end
 	// before a waiting request gets a slot.
 	typicalAnswerTokens = 250
@@ -145,25 +159,36 @@
 }
 
 // homeIndex returns the index of a prefix's home server, chosen by rendezvous
-// hashing: the server with the highest hash of prefix and server together.
-// Removing a server moves only the prefixes that had their home there. It
+// hashing: the server with the highest hash of prefix and server together, weighted by
+// its speed. Removing a server moves only the prefixes that had their home there. It
 // returns -1 if there is no prefix or no healthy server.
 func homeIndex(prefix uint64, candidates []Candidate) int {
 	if prefix == 0 {
 		return -1
 	}
-	home, highest := -1, uint64(0)
+	home, highest := -1, math.Inf(-1)
 	for i := range candidates {
 		if candidates[i].Weight < 1 {
 			continue
 		}
-		if h := mix(prefix ^ candidates[i].Hash); home < 0 || h > highest {
+		// -ln(u)/weight has an exponential distribution, so each server has the lowest value
+		// with a probability in proportion to its weight.
+		u := (float64(mix(prefix^candidates[i].Hash)>>11) + 0.5) / (1 << 53)
+		if h := math.Log(u) / homeWeight(candidates[i].Slowdown); h > highest {
 			home, highest = i, h
 		}
 	}
 	return home
 }
 
+// homeWeight returns the weight of a server among the homes of prefixes.
+func homeWeight(slowdown float64) float64 {
+	if slowdown <= 0 {
+		return 1
+	}
+	return math.Pow(slowdown, -homeSpeedExponent)
+}
+
 // mix is a hash finalizer: every bit of x affects all bits of the result.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
@@ -174,8 +199,9 @@
 }
 
 // weigh predicts the times of a request on a candidate and returns them with
-// its score in milliseconds. isHome is true for the home server of the request's
-// prefix.
+// its score in milliseconds: what the request waits, what it takes from others, and the
+// targets that are missed because of it. isHome is true for the home server of the
+// request's prefix.
 func weigh(rates cost.Rates, req Request, c *Candidate, isHome bool) (Choice, float64) {
 	if req.PromptTokens == 0 {
 		return weighCall(rates, c)
@@ -187,8 +213,13 @@
 	uncachedTokens := max(float64(req.PromptTokens)-cachedTokens, 1)
 	step := stepTime(rates, c)
 	wait := rates.PrefillMillis(c.Load.PrefillTokens) + 2*step + slotWait(rates, c)
-	firstToken := (wait + rates.PrefillMillis(uncachedTokens)) * max(c.Slowdown, 1)
-	score := firstToken + recomputeWeight*rates.PrefillMillis(uncachedTokens) + float64(min(req.AnswerTokens, 400))*0.1*step*max(c.Slowdown, 1)
+	prefill := rates.PrefillMillis(uncachedTokens)
+	firstToken := (wait + prefill) * c.Slowdown
+	score := ownDelayWeight(&req)*firstToken + recomputeWeight*prefill*c.Slowdown + answerWeight*float64(min(req.AnswerTokens, maxWeighedAnswerTokens))*step
+	score += missCostMillis * (missProbability(firstToken, req.LatencyTarget) + addedLongPauses(rates, &req, c, uncachedTokens))
+	if req.LatencyTarget > 0 {
+		score += fastServerCostMillis * max(1-c.Slowdown, 0)
+	}
 	if memoryLimit := MaxMemoryShare * float64(c.MemoryTokens); memoryLimit > 0 {
 		if excess := c.Load.MemoryTokens + float64(req.PromptTokens+req.AnswerTokens) - memoryLimit; excess > 0 {
 			score += memoryOverflowCostMillis * excess / memoryLimit
@@ -244,7 +275,7 @@
 	wait := max(c.Load.Running+1-slots, 0) / slots * cost.Millis(rates.CallTime)
 	loadCost := c.Load.Running / slots * cost.Millis(rates.CallTime) * 0.3
 	ordinaryTime := wait + cost.Millis(rates.CallTime)
-	answerTime := ordinaryTime * max(c.Slowdown, 1)
+	answerTime := ordinaryTime * c.Slowdown
 	score := answerTime + loadCost
 	if !c.SameZone {
 		score += crossZoneCostMillis
