placement: nodes with the same view consider different servers

Reports of peers are some hundred milliseconds old, and a score's random part of 1.5 ms does not separate long prompts, whose scores differ by hundreds: all nodes sent them to the engine that looked least loaded. A request with a prompt now considers its prefix's home, the servers that hold the prefix and a random sample of six others, unless the node is alone.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -64,6 +64,8 @@
 	SharedTokens int
 	// PrefixHash is the hash of these shared parts, 0 if there are none.
 	PrefixHash uint64
+	// Nodes is the number of nodes that choose from the same loads.
+	Nodes int
 	// LatencyTarget is the target for the time to the first token, and PauseTarget that for
 	// the longest pause between two events of an answer; 0 means that there is none.
 	LatencyTarget, PauseTarget time.Duration
@@ -76,6 +78,10 @@
 	// homeSpeedExponent is the power of a server's speed by which it is the home of more
 	// prefixes. It is above 1 as a prompt's prefill delays all answers of its server.
 	homeSpeedExponent = 2.0
+	// sampledServers is the mean number of servers that a request with a prompt considers
+	// beside those that have its prefix, if other nodes choose from the same loads. Nodes
+	// that consider different servers do not all send long prompts to the same one.
+	sampledServers = 6.0
 	// recomputeWeight multiplies the time of uncached tokens: computing them
 	// also delays the answers in the same batch and evicts other prefixes from
 	// the cache.
@@ -126,26 +132,36 @@
 // all requests, and ejected ones if there is no other, as any server is better
 // than none.
 func Choose(rates cost.Rates, req Request, candidates []Candidate, random *rand.Rand) Choice {
+	home := homeIndex(req.PrefixHash, candidates)
 	for _, eligible := range []func(c *Candidate) bool{
 		func(c *Candidate) bool { return c.Weight >= 1 || c.Weight > 0 && random.Float64() < c.Weight },
 		func(c *Candidate) bool { return c.Weight > 0 },
 		func(*Candidate) bool { return true },
 	} {
-		if best := lowestScore(rates, req, candidates, eligible, random); best.Index >= 0 {
-			return best
+		for _, share := range []float64{sampledShare(&req, len(candidates)), 1} {
+			if best := lowestScore(rates, req, candidates, home, share, eligible, random); best.Index >= 0 {
+				return best
+			}
 		}
 	}
 	return Choice{Index: -1}
 }
 
+// sampledShare returns the share of the servers without a request's prefix that it considers.
+func sampledShare(req *Request, servers int) float64 {
+	if req.Nodes <= 1 || req.PromptTokens == 0 {
+		return 1
+	}
+	return min(sampledServers/float64(max(servers, 1)), 1)
+}
+
 // lowestScore returns the candidate with the lowest score among those that are
-// eligible.
-func lowestScore(rates cost.Rates, req Request, candidates []Candidate, eligible func(c *Candidate) bool, random *rand.Rand) Choice {
-	home := homeIndex(req.PrefixHash, candidates)
+// eligible, of which only a random share is considered unless they have the prefix.
+func lowestScore(rates cost.Rates, req Request, candidates []Candidate, home int, share float64, eligible func(c *Candidate) bool, random *rand.Rand) Choice {
 	best, lowest := Choice{Index: -1}, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if !eligible(c) {
+		if !eligible(c) || share < 1 && i != home && c.CachedTokens == 0 && random.Float64() >= share {
 			continue
 		}
 		choice, score := weigh(rates, req, c, i == home)
--- a/internal/coordination/placement/uneven_test.go
+++ b/internal/coordination/placement/uneven_test.go
@@ -98,3 +98,23 @@
 		t.Errorf("%d of %d homes on the 4 fast engines of 12, and nodes differ on %d", onFast, sessions, differ)
 	}
 }
+
+// TestNodesWithTheSameViewSpreadLongPrompts: many nodes place long prompts within the age of
+// their peers' reports, while one fast engine has the least work.
+func TestNodesWithTheSameViewSpreadLongPrompts(t *testing.T) {
+	candidates := newUnevenCandidates(24)
+	for i := range candidates {
+		candidates[i].Load = Load{Running: 4, PrefillTokens: 3_000}
+	}
+	candidates[2].Load = Load{}
+	used := map[int]int{}
+	for vm := range 24 {
+		req := Request{PromptTokens: 18_000, AnswerTokens: 384, LatencyTarget: time.Second, PauseTarget: pauseTarget, Nodes: 24}
+		used[Choose(ordinaryRates, req, candidates, rand.New(rand.NewPCG(uint64(vm), 11))).Index]++
+	}
+	for i, n := range used {
+		if n > 9 {
+			t.Errorf("%d of 24 long prompts on engine %d", n, i)
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -286,7 +286,7 @@
 		return query
 	}
 	query.parts = q.call.Parts
-	query.request = placement.Request{PromptTokens: q.call.PromptTokens, AnswerTokens: min(q.answerTokens(), maxPlannedAnswerTokens), LatencyTarget: q.route.LatencyTarget, PauseTarget: q.route.PauseTarget}
+	query.request = placement.Request{PromptTokens: q.call.PromptTokens, AnswerTokens: min(q.answerTokens(), maxPlannedAnswerTokens), LatencyTarget: q.route.LatencyTarget, PauseTarget: q.route.PauseTarget, Nodes: q.node.backends.members()}
 	if len(query.parts) > 1 {
 		shared := query.parts[:len(query.parts)-1]
 		query.request.PrefixHash = shared[len(shared)-1].ID
