cost: the rates of services and the speed of servers are learned from answers

Placement, orders, lateness and the verdicts on slow servers used one constant for every service and server (45 prompt tokens a ms, steps of 3 ms, calls of 30 ms), right for none of the deployments. A request was predicted wrongly by 2.8 to 4.9 times at the 90th percentile.

A regression per service, with exponential forgetting and weights that follow the median, now learns prompt tokens per ms, their growth with the square of the prompt, the fixed part of the time to the first token, and the step by batch size; the slowdown of a server is the mean logarithm of its times over the predicted ones; the length of answers follows the hint, corrected by level. VMs share the sums over their samples as totals of digests, which builds before this one pass on, and the samples of servers' speeds as two numbers of a load. [placement] learned_cost = false keeps the former rates.

--- a/internal/coordination/cost/cost.go
+++ b/internal/coordination/cost/cost.go
@@ -8,8 +8,14 @@
 // Rates are what an ordinary server of a service does in a unit of time. How much slower a
 // single server is, is a factor beside them, see Model.Slowdown.
 type Rates struct {
-	// PrefillTokensPerMilli is the number of prompt tokens computed per millisecond.
+	// PrefillTokensPerMilli is the number of prompt tokens computed per millisecond, and
+	// QuadraticMillis the additional time of a prompt of 1000 tokens, in milliseconds. It
+	// grows with the square of the prompt's length.
 	PrefillTokensPerMilli float64
+	QuadraticMillis       float64
+	// Overhead is the part of the time to the first token that does not depend on the
+	// prompts, beyond two steps of the batch.
+	Overhead time.Duration
 	// Step is the base time of one step of a batch; each running request adds
 	// StepPerRequest.
 	Step           time.Duration
@@ -48,8 +54,10 @@
 	// FirstToken is the time to the first token, or to the answer of a plain call.
 	FirstToken time.Duration
 	// AnswerTokens is the number of tokens produced, and AnswerTime the time from the first
-	// to the last of them.
+	// to the last of them. FirstTokens is the number of tokens that arrived at once at the
+	// start of AnswerTime.
 	AnswerTokens int
+	FirstTokens  int
 	AnswerTime   time.Duration
 	// Complete is true if the answer ended by itself. Otherwise AnswerTokens is a lower bound.
 	Complete bool
@@ -65,42 +73,34 @@
 	CallTime:              30 * time.Millisecond,
 }
 
-// Model learns from observations. It is safe for concurrent use; its lock is a leaf lock.
-type Model struct{}
-
-// NewModel returns a model without samples.
-func NewModel() *Model { return &Model{} }
-
-// Rates returns the rates of an ordinary server of a service.
-func (m *Model) Rates(service string, now time.Time) Rates { return prior }
-
-// Slowdown returns a server's time for the same work over that of an ordinary server of its
-// service, 1 if it is not known.
-func (m *Model) Slowdown(service string, server uint32, now time.Time) float64 { return 1 }
-
-// AnswerTokens returns the predicted length of a request's answer.
-func (m *Model) AnswerTokens(r Request, now time.Time) Estimate {
-	tokens := float64(r.HintTokens)
-	if tokens <= 0 {
-		tokens = float64(r.MaxAnswerTokens)
-	}
-	return Estimate{Mean: tokens, Median: tokens, P90: tokens}
-}
-
-// Observe records what an answer has shown.
-func (m *Model) Observe(o Observation, now time.Time) {}
-
 // typicalBatch is the assumed number of answers that share the time of a step.
 const typicalBatch = 8
 
+// firstTokenSteps is the number of steps of the batch until the first token of a prompt.
+const firstTokenSteps = 2
+
 // Work returns the engine time of a request in a batch of typical size, in milliseconds.
 func (r Rates) Work(uncachedTokens, answerTokens float64) float64 {
 	perToken := Millis(r.Step)/typicalBatch + Millis(r.StepPerRequest)
 	return r.PrefillMillis(uncachedTokens) + answerTokens*perToken
 }
 
-// PrefillMillis returns the time in which a prompt's tokens are computed, in milliseconds.
-func (r Rates) PrefillMillis(tokens float64) float64 { return tokens / r.PrefillTokensPerMilli }
+// PrefillMillis returns the time in which the tokens of one prompt are computed, in
+// milliseconds.
+func (r Rates) PrefillMillis(tokens float64) float64 {
+	return r.QueuedPrefillMillis(tokens) + r.QuadraticMillis*square(tokens/1000)
+}
+
+// QueuedPrefillMillis returns the time in which the tokens of several prompts of unknown
+// lengths are computed, in milliseconds.
+func (r Rates) QueuedPrefillMillis(tokens float64) float64 { return tokens / r.PrefillTokensPerMilli }
+
+// FirstTokenMillis returns the time to the first token of a prompt behind others, in
+// milliseconds, at a server with free slots.
+func (r Rates) FirstTokenMillis(uncachedTokens, tokensAhead, running float64) float64 {
+	fixed := max(Millis(r.Overhead)+firstTokenSteps*r.StepMillis(running), 0)
+	return fixed + r.QueuedPrefillMillis(tokensAhead) + r.PrefillMillis(uncachedTokens)
+}
 
 // StepMillis returns the time of one step of a batch, in milliseconds.
 func (r Rates) StepMillis(running float64) float64 {
@@ -109,3 +109,7 @@
 
 // Millis returns a duration in milliseconds.
 func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMillis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func square(x float64) float64 { return x * x }
--- a/internal/coordination/gossip/messages.go
+++ b/internal/coordination/gossip/messages.go
@@ -161,7 +161,10 @@
 func (a *aggregate) addLoads(loads []Load) {
 	for _, l := range loads {
 		x := a.loads[l.Server]
-		a.loads[l.Server] = Load{Server: l.Server, PrefillTokens: x.PrefillTokens + l.PrefillTokens, Running: x.Running + l.Running, MemoryTokens: x.MemoryTokens + l.MemoryTokens}
+		a.loads[l.Server] = Load{
+			Server: l.Server, PrefillTokens: x.PrefillTokens + l.PrefillTokens, Running: x.Running + l.Running, MemoryTokens: x.MemoryTokens + l.MemoryTokens,
+			SpeedSamples: x.SpeedSamples + l.SpeedSamples, SpeedSum: x.SpeedSum + l.SpeedSum,
+		}
 	}
 }
 
@@ -235,7 +238,9 @@
 		l.PrefillTokens -= min(x.PrefillTokens, l.PrefillTokens)
 		l.Running -= min(x.Running, l.Running)
 		l.MemoryTokens -= min(x.MemoryTokens, l.MemoryTokens)
-		if l.Running > 0 || l.PrefillTokens > 0 {
+		l.SpeedSamples -= min(x.SpeedSamples, l.SpeedSamples)
+		l.SpeedSum -= min(x.SpeedSum, l.SpeedSum)
+		if l.Running > 0 || l.PrefillTokens > 0 || l.SpeedSamples > 0 {
 			d.Loads = append(d.Loads, l)
 		}
 	}
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -42,7 +42,7 @@
 	// limit.
 	Slots        int
 	MemoryTokens int
-	// Slowdown is the server's slowdown factor, 1 at ordinary speed.
+	// Slowdown is the server's time for the same work over that of an ordinary server.
 	Slowdown float64
 	// Weight is the share of requests that the health checks allow the server,
 	// 0 to 1.
@@ -101,8 +101,11 @@
 	// speed. They differ because the cached part of the prompt is not known for
 	// certain.
 	MinFirstToken, MaxFirstToken time.Duration
-	// UncachedTokens is the number of prompt tokens assumed to be computed.
-	UncachedTokens float64
+	// UncachedTokens is the number of prompt tokens assumed to be computed, and
+	// MinUncachedTokens that number if all shared parts are cached.
+	UncachedTokens, MinUncachedTokens float64
+	// Load is the load of the chosen server, without the request.
+	Load Load
 }
 
 // Choose returns the candidate with the lowest score: the one that answers the
@@ -186,9 +189,9 @@
 	}
 	uncachedTokens := max(float64(req.PromptTokens)-cachedTokens, 1)
 	step := stepTime(rates, c)
-	wait := rates.PrefillMillis(c.Load.PrefillTokens) + 2*step + slotWait(rates, c)
-	firstToken := (wait + rates.PrefillMillis(uncachedTokens)) * max(c.Slowdown, 1)
-	score := firstToken + recomputeWeight*rates.PrefillMillis(uncachedTokens) + float64(min(req.AnswerTokens, 400))*0.1*step*max(c.Slowdown, 1)
+	wait := rates.FirstTokenMillis(0, c.Load.PrefillTokens, c.running()) + slotWait(rates, c)
+	firstToken := (wait + rates.PrefillMillis(uncachedTokens)) * c.Slowdown
+	score := firstToken + recomputeWeight*rates.PrefillMillis(uncachedTokens) + float64(min(req.AnswerTokens, 400))*0.1*step*c.Slowdown
 	if memoryLimit := MaxMemoryShare * float64(c.MemoryTokens); memoryLimit > 0 {
 		if excess := c.Load.MemoryTokens + float64(req.PromptTokens+req.AnswerTokens) - memoryLimit; excess > 0 {
 			score += memoryOverflowCostMillis * excess / memoryLimit
@@ -197,9 +200,10 @@
 	if !c.SameZone {
 		score += crossZoneCostMillis
 	}
+	minUncachedTokens := max(float64(req.PromptTokens-req.SharedTokens), 1)
 	return Choice{
-		FirstToken: fromMillis(firstToken), UncachedTokens: uncachedTokens,
-		MinFirstToken: fromMillis(wait + rates.PrefillMillis(max(float64(req.PromptTokens-req.SharedTokens), 1))),
+		FirstToken: fromMillis(firstToken), UncachedTokens: uncachedTokens, MinUncachedTokens: minUncachedTokens, Load: c.Load,
+		MinFirstToken: fromMillis(wait + rates.PrefillMillis(minUncachedTokens)),
 		MaxFirstToken: fromMillis(wait + rates.PrefillMillis(float64(req.PromptTokens))),
 	}, score
 }
@@ -218,15 +222,17 @@
 	return 1
 }
 
-// stepTime returns the time of one step of a server's batch, in milliseconds.
-func stepTime(rates cost.Rates, s *Candidate) float64 {
-	running := s.Load.Running
-	if s.Slots > 0 {
-		running = min(running, float64(s.Slots))
+// running returns the number of requests in a server's batch.
+func (c *Candidate) running() float64 {
+	if c.Slots > 0 {
+		return min(c.Load.Running, float64(c.Slots))
 	}
-	return rates.StepMillis(running)
+	return c.Load.Running
 }
 
+// stepTime returns the time of one step of a server's batch, in milliseconds.
+func stepTime(rates cost.Rates, s *Candidate) float64 { return rates.StepMillis(s.running()) }
+
 // slotWait returns the time until a server has a free slot for one more request,
 // in milliseconds. Slots become free one after another as answers end.
 func slotWait(rates cost.Rates, s *Candidate) float64 {
@@ -244,12 +250,12 @@
 	wait := max(c.Load.Running+1-slots, 0) / slots * cost.Millis(rates.CallTime)
 	loadCost := c.Load.Running / slots * cost.Millis(rates.CallTime) * 0.3
 	ordinaryTime := wait + cost.Millis(rates.CallTime)
-	answerTime := ordinaryTime * max(c.Slowdown, 1)
+	answerTime := ordinaryTime * c.Slowdown
 	score := answerTime + loadCost
 	if !c.SameZone {
 		score += crossZoneCostMillis
 	}
-	return Choice{FirstToken: fromMillis(answerTime), MinFirstToken: fromMillis(ordinaryTime), MaxFirstToken: fromMillis(ordinaryTime)}, score
+	return Choice{Load: c.Load, FirstToken: fromMillis(answerTime), MinFirstToken: fromMillis(ordinaryTime), MaxFirstToken: fromMillis(ordinaryTime)}, score
 }
 
 func fromMillis(ms float64) time.Duration {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -78,6 +78,7 @@
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: x.body}
 	failed := answer.Status >= http.StatusInternalServerError
+	a.progress.countAnswer(answer.Status, now)
 	n.moves.firstAnswer(a.placed, failed, now.Sub(a.startedAt), now)
 	// A server that asks for a backoff is busy, not faulty.
 	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed && head.Backoff == 0, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
@@ -51,7 +52,11 @@
 	// uncachedTokens is the number of prompt tokens that the server of the last
 	// attempt was expected to prefill.
 	uncachedTokens float64
-	lastServer     string
+	// predictedAnswer is the predicted length of the answer in tokens, and eventCount the
+	// number of events forwarded.
+	predictedAnswer *cost.Estimate
+	eventCount      int
+	lastServer      string
 	// framing is that of the last answer, and partialEventBytes the number of bytes
 	// received after its last complete event.
 	framing           string
@@ -218,6 +223,7 @@
 	for a := q.startAttempt(ctx, p, nil); ; isRetry = true {
 		outcome, next := a.run(ctx)
 		q.node.moves.countOutcome(a.placed, a.evidence(outcome))
+		a.observeCost(outcome)
 		q.countAttempt(a, outcome, isRetry)
 		if next == nil {
 			return q.afterAttempt(a.placed, outcome)
@@ -273,7 +279,7 @@
 }
 
 func (q *request) serverQuery() *serverQuery {
-	query := &serverQuery{service: q.service, zone: q.node.settings.AvailabilityZone, exclude: q.tried}
+	query := &serverQuery{service: q.service, route: q.routeName(), zone: q.node.settings.AvailabilityZone, exclude: q.tried}
 	if q.isTrial() {
 		query.preferred = q.node.quarantiner.table.LostServers(q.trialUnits, q.node.quarantiner.now())
 	}
@@ -293,13 +299,6 @@
 	return query
 }
 
-func (q *request) answerTokens() int {
-	if q.call.LikelyAnswerTokens > 0 {
-		return q.call.LikelyAnswerTokens
-	}
-	return q.call.MaxAnswerTokens
-}
-
 // attempt is one attempt in progress. Its own goroutine exchanges the request with the
 // server; everything else is done by the request's goroutine, which receives from arrivals.
 type attempt struct {
@@ -328,6 +327,8 @@
 	progressAt time.Time
 	// early holds what has arrived before the attempt took its request over.
 	early []arrival
+	// progress is what the answer shows of its cost.
+	progress answerProgress
 }
 
 // States of attempt.sending.
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -444,6 +444,7 @@
 	if changed {
 		t.reindex()
 		t.health.Retain(func(id string) bool { return t.byID[id] != nil })
+		t.retainCosts()
 	}
 	t.mu.Unlock()
 	for _, p := range pools {
@@ -556,6 +557,7 @@
 // serverQuery describes the server that an attempt needs.
 type serverQuery struct {
 	service string
+	route   string
 	request placement.Request
 	parts   []platform.Part
 	zone    string
@@ -593,7 +595,7 @@
 		c.MemoryTokens = memory
 		t.candidates = append(t.candidates, c)
 	}
-	choice := placement.Choose(t.costs.Rates(query.service, now), query.request, t.candidates, random)
+	choice := placement.Choose(t.costs.RatesOfRoute(query.service, query.route, now), query.request, t.candidates, random)
 	if choice.Index < 0 {
 		return nil
 	}
@@ -791,7 +793,7 @@
 		Hash:     b.hash,
 		Load:     load,
 		Slots:    b.info.Slots,
-		Slowdown: t.health.Slowdown(key, now),
+		Slowdown: t.slowdown(b, key, now),
 		Weight:   t.health.Weight(key, now),
 		SameZone: b.info.AvailabilityZone == query.zone,
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -53,6 +53,10 @@
 	startedAt time.Time
 	vmsListed atomic.Bool
 
+	// costTotals holds the totals of cost models under each key of updates. Only the receiving
+	// loop uses it.
+	costTotals map[string]map[uint32]uint64
+
 	mu          sync.Mutex
 	core        *gossip.Core
 	sequence    uint64
@@ -63,7 +67,7 @@
 }
 
 func newMembers(n *Node) *members {
-	m := &members{node: n, startedAt: n.now(), earlyDigest: make(chan struct{}, 1)}
+	m := &members{node: n, startedAt: n.now(), costTotals: map[string]map[uint32]uint64{}, earlyDigest: make(chan struct{}, 1)}
 	m.core = gossip.New(gossip.DefaultConfig, m.identity())
 	return m
 }
@@ -295,7 +299,7 @@
 	m.mu.Unlock()
 	d := gossip.Digest{
 		WallMillis: time.Now().UnixMilli(),
-		Loads:      n.backends.ownLoads(),
+		Loads:      m.addSpeedSamples(n.backends.ownLoads()),
 	}
 	d.Ready, d.Draining, d.IsCutOff = n.Ready(), n.draining.Load(), n.links.AnyCut()
 	if token, end, holds := n.duties.leaseState(now); holds {
@@ -311,6 +315,9 @@
 	if sequence%digestsPerUsage == 0 || d.Draining {
 		m.addUsageAndWork(&d, now)
 	}
+	if sequence%digestsPerCosts == 0 {
+		m.addCosts(&d)
+	}
 	return d
 }
 
@@ -393,6 +400,8 @@
 	n.moves.applyReport(update.Key, update.Moves, now)
 	n.quota.ApplyTotals(update.Key, m.quotaTotals(update.AdmittedTotals), now)
 	n.work.update(update.Key, update.Work)
+	m.applySpeedSamples(update.Key, update.Loads, now)
+	m.applyCosts(update.Key, update.Work, d.Work, now)
 }
 
 func (m *members) applyUsage(d *gossip.Digest) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 	requests           *prometheus.CounterVec
 	firstAnswerSeconds *prometheus.HistogramVec
 	answerSeconds      *prometheus.HistogramVec
+	predictionError    *prometheus.HistogramVec
 	attempts           *prometheus.CounterVec
 	answerEnds         *prometheus.CounterVec
 	searches           *prometheus.CounterVec
@@ -46,6 +47,9 @@
 // latencyBuckets are in seconds.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 15}
 
+// errorBuckets are ratios of a measured value to the predicted one.
+var errorBuckets = []float64{0.1, 0.25, 0.5, 0.67, 0.8, 0.95, 1.05, 1.25, 1.5, 2, 3, 4, 10}
+
 func newMetrics() *metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "coltsfoot_gateway_" + name, Help: help}, labels)
@@ -61,13 +65,16 @@
 		requests:           counter("requests_total", "Requests by route and outcome.", "route", "outcome"),
 		firstAnswerSeconds: histogram("first_answer_seconds", "Time to the first byte of an answer."),
 		answerSeconds:      histogram("answer_seconds", "Time to the end of an answer."),
-		attempts:           counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
-		answerEnds:         counter("answer_ends_total", "Answers of backend servers by service, framing and end.", "service", "framing", "end"),
-		searches:           counter("replacement_searches_total", "Searches for another server while an attempt was silent, by service and end.", "service", "end"),
-		platformCalls:      counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
-		contentLosses:      counter("content_losses_total", "Attempts whose answer was lost, by service and state of the server afterwards.", "service", "server_state"),
-		contentRefusals:    counter("content_refusals_total", "Attempts refused because the request content is quarantined, by service.", "service"),
-		contentTrials:      counter("content_trials_total", "Trials of quarantined request contents and parts of prompts, by outcome.", "outcome"),
+		predictionError: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "coltsfoot_gateway_prediction_error_ratio", Help: "Measured time to the first token, or length of the answer in tokens, over the predicted one, by route, service and part.", Buckets: errorBuckets,
+		}, []string{"route", "service", "part"}),
+		attempts:        counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
+		answerEnds:      counter("answer_ends_total", "Answers of backend servers by service, framing and end.", "service", "framing", "end"),
+		searches:        counter("replacement_searches_total", "Searches for another server while an attempt was silent, by service and end.", "service", "end"),
+		platformCalls:   counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
+		contentLosses:   counter("content_losses_total", "Attempts whose answer was lost, by service and state of the server afterwards.", "service", "server_state"),
+		contentRefusals: counter("content_refusals_total", "Attempts refused because the request content is quarantined, by service.", "service"),
+		contentTrials:   counter("content_trials_total", "Trials of quarantined request contents and parts of prompts, by outcome.", "outcome"),
 		contents: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_contents", Help: "Request contents with lost servers, tracked and quarantined.",
 		}, []string{"state"}),
@@ -109,7 +116,7 @@
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.predictionError, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
 		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -165,6 +165,7 @@
 	})
 	n.backends = newBackendTable(n.health)
 	n.backends.sourceAddress = settings.SourceAddress
+	n.backends.costs.SetLearning(settings.LearnedCost)
 	n.quota = quota.New(quotaExtraShare * settings.QuotaSlack)
 	n.usage = usage.NewTable(usage.Source{VM: settings.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
@@ -338,6 +339,9 @@
 	if known && previous.StartedAtMillis != s.StartedAtMillis {
 		n.quarantiner.recordRestart(shortHash(id), id, s.StartedAtMillis)
 	}
+	if known && (previous.StartedAtMillis != s.StartedAtMillis || previous.SoftwareVersion != s.SoftwareVersion) {
+		n.backends.costs.Forget(shortHash(id))
+	}
 	if !known || previous.Address != s.Address {
 		for _, other := range n.backends.othersAt(s.Address, id) {
 			n.quarantiner.recordRestart(shortHash(other), other, s.StartedAtMillis)
@@ -440,6 +444,7 @@
 	n.quota.SetExtraBurst(quotaExtraShare*settings.QuotaSlack, n.now())
 	setMemoryLimit(&settings)
 	n.answerMemory.configure(&settings)
+	n.backends.costs.SetLearning(settings.LearnedCost)
 	n.log.Event("gateway", "reloaded", "vm", settings.VM, "store", settings.StoreAddress, "taken", strings.Join(applied, ","), "need-start", strings.Join(needRestart, ","))
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -54,6 +54,9 @@
 	// QuotaSlack is the amount, in tokens or requests, that a workspace may get
 	// beyond its quota in a window.
 	QuotaSlack float64
+	// LearnedCost is true if what requests cost and how fast servers are is learned from
+	// answers.
+	LearnedCost bool
 	// AddressTTL bounds the time for which callers cache addresses.
 	AddressTTL time.Duration
 }
@@ -86,6 +89,7 @@
 	{"retries", true, func(a, b *Settings) bool {
 		return a.RetryRatio == b.RetryRatio && a.RetrySlack == b.RetrySlack && a.RetryWindow == b.RetryWindow
 	}},
+	{"placement.learned_cost", true, func(a, b *Settings) bool { return a.LearnedCost == b.LearnedCost }},
 	{"quota.slack", true, func(a, b *Settings) bool { return a.QuotaSlack == b.QuotaSlack }},
 }
 
@@ -131,6 +135,7 @@
 	schema.Float("retries", "slack", &s.RetrySlack, 50, 0, 1<<20, "requests", "retries allowed beyond the ratio, in a window, by all VMs")
 	schema.Duration("retries", "window", &s.RetryWindow, 10*time.Second, time.Second, time.Hour, "length of the window in which retries are counted")
 	schema.Float("quota", "slack", &s.QuotaSlack, 0, 0, 1<<30, "tokens or requests", "amount that a workspace may get beyond its quota in a window")
+	schema.Bool("placement", "learned_cost", &s.LearnedCost, true, "whether the cost of requests and the speed of servers are learned from answers; if not, fixed rates apply")
 	schema.Duration("listen", "address_keep", &s.AddressTTL, 5*time.Second, time.Second, time.Hour, "maximum time for which callers cache addresses")
 	return schema
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,6 +76,8 @@
 	if ev.id >= 0 && q.lastEventID >= 0 && ev.id != q.lastEventID+1 {
 		return a.handleLost(errors.Newf("event %d received after event %d", ev.id, q.lastEventID)), true
 	}
+	a.progress.countEvent(n.now())
+	q.eventCount++
 	if err := q.forwardEvent(a.answer, ev); err != nil {
 		return outcomeCallerLeft, true
 	}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -79,8 +79,10 @@
 // and those whose own prompt takes too long.
 func (q *request) countFirstToken(now time.Time) {
 	target := q.route.LatencyTarget
-	prefill := q.node.backends.costs.Rates(q.service, now).PrefillMillis(q.uncachedTokens)
-	if target <= 0 || q.sentCount != 1 || q.moves > 0 || prefill > maxPrefillShare*cost.Millis(target) {
+	if target <= 0 || q.sentCount != 1 || q.moves > 0 {
+		return
+	}
+	if prefill := q.node.rates(q.service, now).PrefillMillis(q.uncachedTokens); prefill > maxPrefillShare*cost.Millis(target) {
 		return
 	}
 	q.node.work.add(answeredTotal(q.service), 1)
--- a/internal/gateway/work_test.go
+++ b/internal/gateway/work_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 )
@@ -28,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			work := newWorkMeter()
-			q := &request{node: &Node{work: work}, service: "s", startedAt: startedAt, route: &deployment.Route{LatencyTarget: c.target}}
+			q := &request{node: &Node{work: work, backends: &backendTable{costs: cost.NewModel()}}, service: "s", startedAt: startedAt, route: &deployment.Route{LatencyTarget: c.target}}
 			q.sentCount, q.moves, q.uncachedTokens = c.sends, c.moves, c.uncachedTokens
 			q.countFirstToken(startedAt.Add(c.took))
 			if answered, late := work.total(answeredTotal("s")), work.total(lateTotal("s")); answered != c.answered || late != c.late {
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -139,7 +139,9 @@
 		inner = appendVarint(inner[:0], 1, uint64(l.Server))
 		inner = appendVarint(inner, 2, (l.PrefillTokens+prefillUnitTokens-1)/prefillUnitTokens)
 		inner = appendVarint(inner, 3, l.Running)
-		b = appendMessage(b, fieldLoad, appendVarint(inner, 4, l.MemoryTokens/memoryUnitTokens))
+		inner = appendVarint(inner, 4, l.MemoryTokens/memoryUnitTokens)
+		inner = appendVarint(inner, 5, l.SpeedSamples)
+		b = appendMessage(b, fieldLoad, appendVarint(inner, 6, l.SpeedSum))
 	}
 	for _, q := range d.AdmittedTotals {
 		inner = appendVarint(inner[:0], 1, uint64(q.Workspace))
@@ -363,7 +365,10 @@
 	case fieldWork:
 		d.Work = append(d.Work, gossip.Work{Service: uint32(v[1]), Millis: v[2]})
 	case fieldLoad:
-		d.Loads = append(d.Loads, gossip.Load{Server: uint32(v[1]), PrefillTokens: clamp(v[2]) * prefillUnitTokens, Running: clamp(v[3]), MemoryTokens: clamp(v[4]) * memoryUnitTokens})
+		d.Loads = append(d.Loads, gossip.Load{
+			Server: uint32(v[1]), PrefillTokens: clamp(v[2]) * prefillUnitTokens, Running: clamp(v[3]), MemoryTokens: clamp(v[4]) * memoryUnitTokens,
+			SpeedSamples: clamp(v[5]), SpeedSum: clamp(v[6]),
+		})
 	case fieldQuota:
 		d.AdmittedTotals = append(d.AdmittedTotals, gossip.AdmittedTotal{Workspace: uint32(v[1]), Total: v[2]})
 	case fieldMove:
--- a/internal/protocol/digest/golden_test.go
+++ b/internal/protocol/digest/golden_test.go
@@ -71,3 +71,18 @@
 		t.Errorf("got %+v\nwant %+v", got, want)
 	}
 }
+
+// TestSpeedSamplesAreOptional: samples of servers' speeds are added to a load as numbers, which
+// earlier builds ignore, and a load without them has the bytes of before.
+func TestSpeedSamplesAreOptional(t *testing.T) {
+	d := sampleDigest()
+	before := Marshal(d)
+	d.Loads[0].SpeedSamples, d.Loads[0].SpeedSum = 3, 51
+	got, err := Unmarshal(Marshal(d))
+	if err != nil || !reflect.DeepEqual(got, d) {
+		t.Errorf("got %+v, error %v\nwant %+v", got, err, d)
+	}
+	if added := len(Marshal(d)) - len(before); added != 4 {
+		t.Errorf("samples take %d bytes, want 4", added)
+	}
+}
