gateway: the learned rates are logged; plain calls are predicted by their median

The mean of a log-normal fit is far from what a call takes where a few calls take very long, and the timeout of a first answer is three times the prediction.

--- a/internal/coordination/cost/model.go
+++ b/internal/coordination/cost/model.go
@@ -1,7 +1,9 @@
 package cost
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,6 +118,13 @@
 	}
 }
 
+// Services returns the names of the services with samples.
+func (m *Model) Services() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.services))
+}
+
 // serviceOf returns the state of a service, nil if there are too many. The caller must hold
 // the lock.
 func (m *Model) serviceOf(name string) *service {
@@ -144,7 +153,7 @@
 // RatesOfRoute returns the rates of an ordinary server of a service for requests of a route.
 func (m *Model) RatesOfRoute(name, route string, now time.Time) Rates {
 	r := m.Rates(name, now)
-	r.CallTime = fromMillis(m.CallTime(Request{Service: name, Route: route}, now).Mean)
+	r.CallTime = fromMillis(m.CallTime(Request{Service: name, Route: route}, now).Median)
 	return r
 }
 
@@ -156,7 +165,7 @@
 		Overhead:              fromMillis(prefill[0]),
 		Step:                  fromMillis(step[0]),
 		StepPerRequest:        fromMillis(step[1]),
-		CallTime:              fromMillis(callEstimate(&s.allCalls, math.Log(Millis(prior.CallTime))).Mean),
+		CallTime:              fromMillis(callEstimate(&s.allCalls, math.Log(Millis(prior.CallTime))).Median),
 	}
 }
 
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -232,3 +232,19 @@
 func valueOf(totals map[uint32]uint64) func(name string) uint64 {
 	return func(name string) uint64 { return totals[shortHash(name)] }
 }
+
+// ratesLogInterval is the interval at which the learned rates are logged.
+const ratesLogInterval = 10 * time.Second
+
+// logRates logs the learned rates of all services, at most once per ratesLogInterval.
+func (n *Node) logRates(now time.Time) {
+	if !n.backends.costs.Learns() || now.Sub(n.ratesLoggedAt) < ratesLogInterval {
+		return
+	}
+	n.ratesLoggedAt = now
+	for _, name := range n.backends.costs.Services() {
+		r := n.rates(name, now)
+		n.log.Event("costs", "rates", "service", name, "prompt-tokens-per-ms", r.PrefillTokensPerMilli, "quadratic-ms", r.QuadraticMillis,
+			"overhead", r.Overhead, "step", r.Step, "step-per-request", r.StepPerRequest, "call", r.CallTime)
+	}
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -108,6 +108,9 @@
 	links            *serverlinks.Table
 	tunnels          *tunnels
 	moves            *versionMoves
+	// ratesLoggedAt is the time at which the learned rates were logged last. Only the sweep
+	// uses it.
+	ratesLoggedAt time.Time
 
 	openRequests atomic.Int64
 	draining     atomic.Bool
@@ -363,6 +366,7 @@
 		n.quarantiner.sweep()
 		n.limits.sweep(n.now())
 		n.places.sweep(n.now())
+		n.logRates(n.now())
 		for _, f := range []*follower{n.operatorFollower, n.serverFollower} {
 			if c := f.confirmation(); !c.At.IsZero() {
 				n.metrics.confirmationAge.WithLabelValues(f.topic).Set(n.now().Sub(c.At).Seconds())
