--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -108,6 +108,9 @@
 	links            *serverlinks.Table
 	tunnels          *tunnels
 	moves            *versionMoves
+	// ratesLoggedAt is the time at which the learned rates were logged last. Only the sweep
+	// uses it.
+	ratesLoggedAt time.Time
 
 	openRequests atomic.Int64
 	draining     atomic.Bool
@@ -165,6 +168,7 @@
 	})
 	n.backends = newBackendTable(n.health)
 	n.backends.sourceAddress = settings.SourceAddress
+	n.backends.costs.SetLearning(settings.LearnedCost)
 	n.quota = quota.New(quotaExtraShare * settings.QuotaSlack)
 	n.usage = usage.NewTable(usage.Source{VM: settings.VM, Incarnation: n.incarnation})
 	n.members = newMembers(n)
@@ -338,6 +342,9 @@
 	if known && previous.StartedAtMillis != s.StartedAtMillis {
 		n.quarantiner.recordRestart(shortHash(id), id, s.StartedAtMillis)
 	}
+	if known && (previous.StartedAtMillis != s.StartedAtMillis || previous.SoftwareVersion != s.SoftwareVersion) {
+		n.backends.costs.Forget(shortHash(id))
+	}
 	if !known || previous.Address != s.Address {
 		for _, other := range n.backends.othersAt(s.Address, id) {
 			n.quarantiner.recordRestart(shortHash(other), other, s.StartedAtMillis)
@@ -359,6 +366,7 @@
 		n.quarantiner.sweep()
 		n.limits.sweep(n.now())
 		n.places.sweep(n.now())
+		n.logRates(n.now())
 		for _, f := range []*follower{n.operatorFollower, n.serverFollower} {
 			if c := f.confirmation(); !c.At.IsZero() {
 				n.metrics.confirmationAge.WithLabelValues(f.topic).Set(n.now().Sub(c.At).Seconds())
@@ -440,6 +448,7 @@
 	n.quota.SetExtraBurst(quotaExtraShare*settings.QuotaSlack, n.now())
 	setMemoryLimit(&settings)
 	n.answerMemory.configure(&settings)
+	n.backends.costs.SetLearning(settings.LearnedCost)
 	n.log.Event("gateway", "reloaded", "vm", settings.VM, "store", settings.StoreAddress, "taken", strings.Join(applied, ","), "need-start", strings.Join(needRestart, ","))
 }
 
