--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -78,6 +78,7 @@
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: x.body}
 	failed := answer.Status >= http.StatusInternalServerError
+	a.progress.countAnswer(answer.Status, now)
 	n.moves.firstAnswer(a.placed, failed, now.Sub(a.startedAt), now)
 	// A server that asks for a backoff is busy, not faulty.
 	n.health.RecordOutcome(a.placed.health, health.Outcome{Failed: failed && head.Backoff == 0, Ratio: a.placed.choice.Ratio(now.Sub(a.startedAt))}, now)
@@ -168,6 +169,9 @@
 	if q.timeToFirstByte > 0 {
 		n.metrics.firstAnswerSeconds.WithLabelValues(q.routeName()).Observe(q.timeToFirstByte.Seconds())
 	}
+	if q.hasLongPause() {
+		n.metrics.longPauses.WithLabelValues(q.routeName()).Inc()
+	}
 	q.logResult(outcome, reason, status)
 }
 
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -379,6 +379,8 @@
 	if changed {
 		t.reindex()
 		t.health.Retain(func(id string) bool { return t.byID[id] != nil })
+		t.retainCosts()
+		t.retainCosts()
 	}
 	t.mu.Unlock()
 	for _, p := range pools {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -55,6 +55,7 @@
 // serverQuery describes the server that an attempt needs.
 type serverQuery struct {
 	service string
+	route   string
 	request placement.Request
 	parts   []platform.Part
 	zone    string
@@ -92,7 +93,7 @@
 		c.MemoryTokens = memory
 		t.candidates = append(t.candidates, c)
 	}
-	choice := placement.Choose(t.costs.Rates(query.service, now), query.request, t.candidates, random)
+	choice := placement.Choose(t.costs.RatesOfRoute(query.service, query.route, now), query.request, t.candidates, random)
 	if choice.Index < 0 {
 		return nil
 	}
@@ -231,7 +232,7 @@
 		Hash:     b.hash,
 		Load:     load,
 		Slots:    b.info.Slots,
-		Slowdown: t.slowdown(b, now),
+		Slowdown: t.expectedSlowdown(b, key, now),
 		Weight:   t.health.Weight(key, now),
 		SameZone: b.info.AvailabilityZone == query.zone,
 	}
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -5,6 +5,7 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/announcements"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/coldservers"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/health"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
@@ -107,14 +108,13 @@
 	return t.coldLimits.RoomAt(b.shortHash^coldBucket, 0, now)
 }
 
-// slowdown returns the factor by which a server is expected to be slower than at ordinary
-// speed.
-func (t *backendTable) slowdown(b *backend, now time.Time) float64 {
-	measured := t.health.Slowdown(healthKey(&b.info), now)
+// expectedSlowdown is slowdown with at least coldSlowdown for a cold server.
+func (t *backendTable) expectedSlowdown(b *backend, key health.Key, now time.Time) float64 {
+	s := t.slowdown(b, key, now)
 	if _, limited := t.coldRate(b, now); limited {
-		return max(measured, coldSlowdown)
+		return max(s, coldSlowdown)
 	}
-	return measured
+	return s
 }
 
 // serversIn returns the entries of a zone's servers, without removed ones.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -60,6 +60,10 @@
 	// that start at the same time.
 	vmsKnown atomic.Bool
 
+	// costTotals holds the totals of cost models under each key of updates. Only the receiving
+	// loop uses it.
+	costTotals map[string]map[uint32]uint64
+
 	mu          sync.Mutex
 	vmsKnownAt  time.Time
 	core        *gossip.Core
@@ -71,7 +75,7 @@
 }
 
 func newMembers(n *Node) *members {
-	m := &members{node: n, startedAt: n.now(), earlyDigest: make(chan struct{}, 1)}
+	m := &members{node: n, startedAt: n.now(), costTotals: map[string]map[uint32]uint64{}, earlyDigest: make(chan struct{}, 1)}
 	m.core = gossip.New(gossip.DefaultConfig, m.identity())
 	return m
 }
@@ -351,7 +355,7 @@
 	m.mu.Unlock()
 	d := gossip.Digest{
 		WallMillis: time.Now().UnixMilli(),
-		Loads:      n.backends.ownLoads(),
+		Loads:      m.addSpeedSamples(n.backends.ownLoads()),
 	}
 	d.Ready, d.Draining, d.IsCutOff = n.Ready(), n.draining.Load(), n.links.AnyCut()
 	if token, end, holds := n.duties.leaseState(now); holds {
@@ -367,6 +371,9 @@
 	if sequence%digestsPerUsage == 0 || d.Draining {
 		m.addUsageAndWork(&d, now)
 	}
+	if sequence%digestsPerCosts == 0 {
+		m.addCosts(&d)
+	}
 	return d
 }
 
@@ -449,6 +456,8 @@
 	n.moves.applyReport(update.Key, update.Moves, now)
 	n.quota.ApplyTotals(update.Key, m.quotaTotals(update.AdmittedTotals), update.LacksAdmitted, now)
 	n.work.update(update.Key, update.Work)
+	m.applySpeedSamples(update.Key, update.Loads, now)
+	m.applyCosts(update.Key, update.Work, d.Work, now)
 }
 
 func (m *members) applyUsage(d *gossip.Digest) {
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/evacuation"
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
 	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
@@ -293,14 +292,6 @@
 	}
 }
 
-// costRequest describes the request for predictions of its cost.
-func (q *request) costRequest() cost.Request {
-	return cost.Request{
-		Service: q.service, Route: q.routeName(), Workspace: q.workspaceName(),
-		PromptTokens: q.call.PromptTokens, HintTokens: q.call.LikelyAnswerTokens, MaxAnswerTokens: q.call.MaxAnswerTokens,
-	}
-}
-
 func (a *attempt) tokensPerEvent() int {
 	if c := a.q.node.serviceConfig(a.placed.server.service); c != nil && c.Model != nil {
 		return max(c.Model.TokensPerEvent, 1)
