gateway: tokens and times of an answer are counted once

Cause: cost and relocation each counted an answer's tokens for an event and the time of its first event. Change: relocation uses what the cost of the answer is observed with.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -334,9 +334,8 @@
 	// answer and head are nil and empty until the head of the answer has arrived.
 	answer *upstream.Answer
 	head   platform.Answer
-	// hasEvent is set after the first event, which arrived at firstEventAt.
-	hasEvent     bool
-	firstEventAt time.Time
+	// hasEvent is set after the first event.
+	hasEvent bool
 	// lastByteAt is the time at which bytes last arrived, in nanoseconds since startedAt.
 	lastByteAt atomic.Int64
 	// progressAt is the time of the last arrival that was no repeated event.
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -279,7 +279,7 @@
 // streamToMove describes the attempt's run for the decision. RemainingNotice is not set.
 func (a *attempt) streamToMove() evacuation.Stream {
 	q := a.q
-	produced := int(q.lastEventID+1) * a.tokensPerEvent()
+	produced := int(q.lastEventID+1) * q.tokensPerEvent()
 	length := q.node.backends.costs.AnswerTokens(q.costRequest(), q.node.now()).P90
 	if length < float64(produced) {
 		length = overrunFactor * float64(produced)
@@ -288,17 +288,10 @@
 		Server:          a.placed.server.id,
 		CachedTokens:    q.call.PromptTokens + produced,
 		UncachedTokens:  q.call.PromptTokens + produced,
-		RemainingTokens: max(int(length)-produced, a.tokensPerEvent()),
+		RemainingTokens: max(int(length)-produced, q.tokensPerEvent()),
 	}
 }
 
-func (a *attempt) tokensPerEvent() int {
-	if c := a.q.node.serviceConfig(a.placed.server.service); c != nil && c.Model != nil {
-		return max(c.Model.TokensPerEvent, 1)
-	}
-	return 1
-}
-
 // copyRates returns what the decision assumes about the run's server and its link to one in
 // another availability zone.
 func (a *attempt) copyRates() evacuation.Rates {
@@ -306,7 +299,7 @@
 	rates := n.backends.costs.Rates(a.q.service, n.now())
 	between := time.Duration(rates.StepMillis(n.backends.running(a.placed.server)) * float64(time.Millisecond))
 	if events := a.q.lastEventID; events > 0 {
-		if pace := n.now().Sub(a.firstEventAt) / time.Duration(int(events)*a.tokensPerEvent()); pace > between {
+		if pace := n.now().Sub(a.progress.firstAt) / time.Duration(int(events)*a.q.tokensPerEvent()); pace > between {
 			between = pace
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,7 +67,7 @@
 func (a *attempt) receiveEvent(ev event) (outcome attemptOutcome, ended bool) {
 	q, n := a.q, a.q.node
 	if !a.hasEvent {
-		a.hasEvent, a.firstEventAt = true, n.now()
+		a.hasEvent = true
 		a.recordFirstEvent()
 	}
 	if q.isRepeated(ev) {
