Soak: zones that are evacuated and taken back

Scenario evacuate: requests of nodes without a fault must not reach an evacuated zone later than the bound.

--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -89,6 +89,13 @@
 	runSeed(t, Options{Seed: 2, Processes: 4, Scenario: ScenarioLimits, Binary: buildGateway(t), RoundDuration: 10 * time.Second})
 }
 
+// TestZonesAreEvacuated runs a short round of ScenarioEvacuate.
+func TestZonesAreEvacuated(t *testing.T) {
+	t.Parallel()
+	// 2: requests were sent to evacuated zones.
+	runSeed(t, Options{Seed: 2, Processes: 4, Scenario: ScenarioEvacuate, Binary: buildGateway(t), RoundDuration: 12 * time.Second})
+}
+
 // TestNodesLoseLinks runs a short round of ScenarioLinks.
 func TestNodesLoseLinks(t *testing.T) {
 	t.Parallel()
