--- a/internal/coordination/topicview/topicview_test.go
+++ b/internal/coordination/topicview/topicview_test.go
@@ -247,3 +247,33 @@
 		t.Errorf("end %v", v.End())
 	}
 }
+
+// TestPagesBeforeTheListing: pages are in force before the listing is complete. The listing of
+// the same era removes what is gone by then; one of a later era keeps it for a time.
+func TestPagesBeforeTheListing(t *testing.T) {
+	now := time.Unix(1_900_000_000, 0)
+	record := func(key string, era, offset uint64) Record {
+		return Record{Key: key, Value: []byte("v"), Position: storelog.At(era, offset)}
+	}
+	for _, era := range []uint64{0, 3} {
+		v := New(Config{RestoreTime: time.Second, Version: func(string, []byte) (Version, bool) { return Version{}, false }})
+		if got := v.ApplyPage([]Record{record("a", era, 1), record("b", era, 2)}); len(got) != 2 || v.End() != 0 {
+			t.Fatalf("era %d: %d changes, end %v", era, len(got), v.End())
+		}
+		changes := v.ApplyListing([]Record{record("b", era, 2), record("c", era, 7)}, storelog.At(era, 9), now)
+		if len(changes) != 2 || v.IsRestoring() || v.End() != storelog.At(era, 9) {
+			t.Errorf("era %d: changes %v, restoring %v, end %v", era, changes, v.IsRestoring(), v.End())
+		}
+		if got := v.ApplyPage([]Record{record("d", era, 8)}); len(got) > 0 {
+			t.Errorf("era %d: a page changes a view that has an end: %v", era, got)
+		}
+	}
+	v := New(Config{RestoreTime: time.Second, Version: func(string, []byte) (Version, bool) { return Version{}, false }})
+	v.ApplyPage([]Record{record("a", 1, 1)})
+	if changes := v.ApplyListing(nil, storelog.At(0, 9), now); len(changes) > 0 || v.End() > 0 {
+		t.Errorf("a listing of an earlier era: changes %v, end %v", changes, v.End())
+	}
+	if changes := v.ApplyListing(nil, storelog.At(2, 9), now); len(changes) > 0 || !v.IsRestoring() {
+		t.Errorf("a listing of a later era: changes %v, restoring %v", changes, v.IsRestoring())
+	}
+}
