quota: VMs on the other side of a partition keep their shares

The hubs' digests cover the VMs that they hear of. A VM that was cut off was no longer among those that share a limit after 1.2 s, so the others took its share while it went on using it, and after 8 s a VM that heard of no other one took the whole quota. VMs that are no longer heard of are now assumed to use their shares for 30 s, and for as long as a VM hears of no other one. What a VM has admitted while it was not heard of is no longer charged a second time when it comes back.

--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -34,6 +34,10 @@
 	// CountTimeout is the time without a digest or a listing of a VM after which
 	// it is no longer counted among the VMs that share limits.
 	CountTimeout time.Duration
+	// SharingTimeout is the time for which VMs that are no longer heard of are assumed to
+	// use their shares of limits. It exceeds the partitions that are expected: the VMs on
+	// the other side of one go on.
+	SharingTimeout time.Duration
 	// MaxTransit is an upper bound on the transit time of a digest.
 	MaxTransit time.Duration
 	// TopologyTimeout is the time without a digest or a listing of a VM after
@@ -56,6 +60,7 @@
 	FreshTimeout:           1200 * time.Millisecond,
 	UnresponsiveTimeout:    2 * time.Second,
 	CountTimeout:           8 * time.Second,
+	SharingTimeout:         30 * time.Second,
 	MaxTransit:             150 * time.Millisecond,
 	TopologyTimeout:        5 * time.Minute,
 	RetryInterval:          time.Second,
@@ -287,6 +292,10 @@
 	zoneTotals map[string]*totals
 	allTotals  totals
 	holder     HolderReport
+	// heldCount is the largest number of VMs that have shared limits within
+	// SharingTimeout, this one included. It was last reached at heldAt.
+	heldCount int
+	heldAt    time.Time
 }
 
 // New returns the core of the VM self, without peers.
@@ -487,6 +496,10 @@
 func (c *Core) apply(p *peer, d *Digest, now time.Time) (Update, bool) {
 	switch d.Kind {
 	case Own:
+		if !p.ownDigestAt.IsZero() && !c.isFresh(p.ownDigestAt, now) {
+			// Meanwhile the peer was assumed to use its share.
+			p.ownTotals.reset()
+		}
 		p.ownDigest, p.ownDigestAt = d, now
 		isKnown := p.ownTotals.accumulate(d, &p.ownTotals)
 		return updateOf(d.VM, d, &p.ownTotals, isKnown), true
@@ -855,3 +868,29 @@
 	}
 	return out
 }
+
+// SilentVMs is the key of LimitCounts for VMs that are not heard of.
+const SilentVMs = "silent"
+
+// LimitCounts returns VMCounts with the VMs that share limits although nothing has been heard
+// of them, within SharingTimeout, under SilentVMs. A VM that hears of no other one goes on to
+// count all of them.
+func (c *Core) LimitCounts(now time.Time) map[string]int {
+	out := c.VMCounts(now)
+	count := 1
+	for _, n := range out {
+		count += n
+	}
+	if count >= c.heldCount || now.Sub(c.heldAt) > c.cfg.SharingTimeout && c.hearsAny(now) {
+		c.heldCount, c.heldAt = count, now
+	}
+	if silent := c.heldCount - count; silent > 0 {
+		out[SilentVMs] = silent
+	}
+	return out
+}
+
+// hearsAny reports whether a digest of another VM has arrived within FreshTimeout.
+func (c *Core) hearsAny(now time.Time) bool {
+	return slices.ContainsFunc(c.heard, func(p *peer) bool { return c.isFresh(p.lastReceivedAt, now) })
+}
--- a/internal/coordination/quota/fleet_test.go
+++ b/internal/coordination/quota/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,7 +91,7 @@
 	}
 	v.limiter = quota.New(usedSlackShare * quotaSlack)
 	v.limiter.Configure(f.limits, f.now)
-	v.limiter.SetPeers(v.core.VMCounts(f.now), f.now)
+	v.limiter.SetPeers(v.core.LimitCounts(f.now), f.now)
 }
 
 func workspaceHash(name string) uint32 {
@@ -112,7 +114,7 @@
 		for _, m := range v.core.Tick(own, f.now) {
 			f.deliver(v, m)
 		}
-		v.limiter.SetPeers(v.core.VMCounts(f.now), f.now)
+		v.limiter.SetPeers(v.core.LimitCounts(f.now), f.now)
 	}
 }
 
@@ -142,7 +144,7 @@
 			event(at)
 		}
 		f.tick(int(at / fleetStep))
-		for name := range f.limits {
+		for _, name := range slices.Sorted(maps.Keys(f.limits)) {
 			for owed[name] += rate(name, at) * fleetStep.Seconds(); owed[name] > 0; {
 				cost := float64(200 + f.random.IntN(2*cheapRequest))
 				if f.random.IntN(5) == 0 {
@@ -251,6 +253,66 @@
 	}
 }
 
+// TestWorkspacesFarOverTheirQuotasDuringFaults: two workspaces request several times their
+// quotas while VMs are partitioned, restart, lose power and join. A third one requests half of
+// its quota.
+func TestWorkspacesFarOverTheirQuotasDuringFaults(t *testing.T) {
+	for _, c := range []struct{ vms, seeds int }{{8, 20}, {63, 10}, {295, 1}} {
+		for seed := range c.seeds {
+			limits := map[string]quota.Limit{
+				"far over": {PerSecond: 600_000, Burst: 600_000}, "over": {PerSecond: 150_000, Burst: 150_000}, "within": {PerSecond: 300_000, Burst: 300_000},
+			}
+			f := newFleet(uint64(seed), c.vms, limits)
+			rate := func(name string, at time.Duration) float64 {
+				if name == "within" || at < warmUp {
+					return 0.45 * limits[name].PerSecond
+				}
+				return 3 * limits[name].PerSecond
+			}
+			f.run(warmUp+quotaWindow+4*time.Second, rate, newFaults(f).at)
+			f.checkWindows(t, fmt.Sprintf("%d VMs, seed %d", c.vms, seed))
+		}
+	}
+}
+
+// faults draws the faults of a deployment from a second before the rates rise.
+type faults struct {
+	fleet *fleet
+	down  []int
+}
+
+func newFaults(f *fleet) *faults { return &faults{fleet: f} }
+
+// at draws a fault every 700 ms.
+func (x *faults) at(at time.Duration) {
+	f := x.fleet
+	if at < warmUp-time.Second || at%(700*time.Millisecond) != 0 {
+		return
+	}
+	switch f.random.IntN(6) {
+	case 0:
+		share := 0.35 * f.random.Float64()
+		for _, v := range f.vms {
+			if f.random.Float64() < share {
+				v.group = 1 + f.random.IntN(len(f.vms))
+			}
+		}
+	case 1:
+		for _, v := range f.vms {
+			v.group = 0
+		}
+	case 2:
+		x.down = append(x.down, f.powerLoss(0.16)...)
+	case 3:
+		f.boot(x.down...)
+		x.down = nil
+	case 4:
+		f.boot(f.random.IntN(len(f.vms)))
+	case 5:
+		f.join()
+	}
+}
+
 func applyUpdate(l *quota.Limiter, u gossip.Update, limits map[string]quota.Limit, now time.Time) {
 	totals := map[string]uint64{}
 	for _, q := range u.AdmittedTotals {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -436,6 +436,7 @@
 	now := m.node.now()
 	m.mu.Lock()
 	weights := m.core.VMCounts(now)
+	limitWeights := m.core.LimitCounts(now)
 	count := m.core.Count(now)
 	var serving []string
 	for _, x := range m.core.ServingPeers(now) {
@@ -443,7 +444,7 @@
 	}
 	m.mu.Unlock()
 	m.node.backends.setServingVMs(serving)
-	m.node.quota.SetPeers(weights, now)
+	m.node.quota.SetPeers(limitWeights, now)
 	m.node.backends.setActiveKeys(weights)
 	m.node.metrics.members.Set(float64(count))
 }
