gateway: what a server's requests are expected to produce yet is part of its load

A running request was known by its memory alone. Its remaining answer follows the predicted length, given what it has produced (the mean excess of a log-normal length), at once for own sends and by a number in each load of a digest for peers'. coltsfootctl explain shows what was predicted beside what a request took.

--- a/internal/coordination/cost/average.go
+++ b/internal/coordination/cost/average.go
@@ -12,10 +12,14 @@
 	at                   time.Time
 }
 
-// maxLogStep bounds how far a sample counts as being from the mean once there are samples.
 const (
+	// maxLogStep bounds how far a sample counts as being from the mean, once there are
+	// boundedSamples.
 	maxLogStep     = 1.1
 	boundedSamples = 3.0
+	// maxDelayStep bounds it for times above the mean of a server's speed: what delays a
+	// request otherwise, like work that this VM does not know of, says nothing about the speed.
+	maxDelayStep = 0.4
 )
 
 func (a *logAverage) forget(now time.Time, halfLife time.Duration) {
@@ -28,11 +32,17 @@
 
 // add adds a sample's logarithm.
 func (a *logAverage) add(log, weight float64, now time.Time, halfLife time.Duration) {
+	step := max(maxLogStep, 2*a.deviation())
+	a.addBounded(log, weight, -step, step, now, halfLife)
+}
+
+// addBounded adds a sample's logarithm, which counts as being between the mean plus low and the
+// mean plus high.
+func (a *logAverage) addBounded(log, weight, low, high float64, now time.Time, halfLife time.Duration) {
 	a.forget(now, halfLife)
 	if a.weight >= boundedSamples {
 		mean := a.sum / a.weight
-		step := max(maxLogStep, 2*a.deviation())
-		log = min(max(log, mean-step), mean+step)
+		log = min(max(log, mean+low), mean+high)
 	}
 	a.weight += weight
 	a.sum += weight * log
--- a/internal/coordination/cost/cost_test.go
+++ b/internal/coordination/cost/cost_test.go
@@ -257,6 +257,23 @@
 	}
 }
 
+// TestRemaining: what is left falls as an answer goes on, and never ends before the answer does.
+func TestRemaining(t *testing.T) {
+	e := logNormal(math.Log(300), 0.5)
+	if got := e.Remaining(0); got != e.Mean {
+		t.Errorf("%v left at the start, want %v", got, e.Mean)
+	}
+	for produced, want := range map[float64][2]float64{100: {235, 255}, 300: {168, 172}, 3000: {250, 400}} {
+		if got := e.Remaining(produced); got < want[0] || got > want[1] {
+			t.Errorf("%v left after %v, want %v", got, produced, want)
+		}
+	}
+	fixed := Estimate{Mean: 50, Median: 50, P90: 50}
+	if a, b := fixed.Remaining(20), fixed.Remaining(70); a != 30 || b != 0 {
+		t.Errorf("%v and %v left of 50, want 30 and 0", a, b)
+	}
+}
+
 // exchange passes the totals of one model on to another.
 func exchange(from, to *Model, scale uint64, now time.Time) {
 	totals := map[string]uint64{}
--- a/internal/coordination/cost/length.go
+++ b/internal/coordination/cost/length.go
@@ -18,6 +18,31 @@
 // lengthPriorWeight is the number of samples that the level above counts as much as.
 const lengthPriorWeight = 4.0
 
+// Remaining returns the expected number of tokens that are still to come after those produced.
+// An answer that is longer than expected is expected to go on for a while.
+func (e Estimate) Remaining(produced float64) float64 {
+	deviation := 0.0
+	if e.Median > 0 {
+		deviation = math.Log(max(e.P90/e.Median, 1)) / p90Deviations
+	}
+	if produced <= 0 || deviation <= 0 {
+		return max(e.Mean-produced, 0)
+	}
+	// The mean excess of a log-normal quantity over a value.
+	z := (math.Log(e.Median) - math.Log(produced)) / deviation
+	exceeds := normal(z)
+	if exceeds < minExceeding {
+		return produced * deviation / -z
+	}
+	return max(math.Exp(math.Log(e.Median)+square(deviation)/2)*normal(z+deviation)/exceeds-produced, 0)
+}
+
+// minExceeding is the probability below which the mean excess is approximated.
+const minExceeding = 1e-4
+
+// normal is the distribution function of the normal distribution.
+func normal(z float64) float64 { return math.Erfc(-z/math.Sqrt2) / 2 }
+
 // levels returns the keys of a request from the most general to the most specific one.
 func levels(r *Request) [3]lengthKey {
 	return [3]lengthKey{{service: r.Service}, {service: r.Service, route: r.Route}, {service: r.Service, route: r.Route, workspace: r.Workspace}}
--- a/internal/coordination/cost/model.go
+++ b/internal/coordination/cost/model.go
@@ -328,9 +328,9 @@
 	if s.service == nil {
 		s.service = ofService
 	}
-	s.logRatio.add(log, weight, now, slowdownHalfLife)
+	s.logRatio.addBounded(log, weight, -maxLogStep, maxDelayStep, now, slowdownHalfLife)
 	if s.service != nil {
-		s.service.logRatio.add(log, weight, now, slowdownHalfLife)
+		s.service.logRatio.addBounded(log, weight, -maxLogStep, maxDelayStep, now, slowdownHalfLife)
 	}
 	return true
 }
--- a/internal/coordination/gossip/digest.go
+++ b/internal/coordination/gossip/digest.go
@@ -125,13 +125,15 @@
 
 // Load is the work on one backend server, identified by the server's hash: the
 // prompt tokens still to be computed, the running requests, and the tokens that
-// these hold in memory. SpeedSamples and SpeedSum are the samples of the server's
+// these hold in memory. AnswerTokens is the number of tokens that they are expected
+// to produce yet. SpeedSamples and SpeedSum are the samples of the server's
 // speed since the sender's last digest, see cost.SpeedSamples.
 type Load struct {
 	Server        uint32
 	PrefillTokens uint64
 	Running       uint64
 	MemoryTokens  uint64
+	AnswerTokens  uint64
 	SpeedSamples  uint64
 	SpeedSum      uint64
 }
--- a/internal/coordination/gossip/messages.go
+++ b/internal/coordination/gossip/messages.go
@@ -163,6 +163,7 @@
 		x := a.loads[l.Server]
 		a.loads[l.Server] = Load{
 			Server: l.Server, PrefillTokens: x.PrefillTokens + l.PrefillTokens, Running: x.Running + l.Running, MemoryTokens: x.MemoryTokens + l.MemoryTokens,
+			AnswerTokens: x.AnswerTokens + l.AnswerTokens,
 			SpeedSamples: x.SpeedSamples + l.SpeedSamples, SpeedSum: x.SpeedSum + l.SpeedSum,
 		}
 	}
@@ -238,6 +239,7 @@
 		l.PrefillTokens -= min(x.PrefillTokens, l.PrefillTokens)
 		l.Running -= min(x.Running, l.Running)
 		l.MemoryTokens -= min(x.MemoryTokens, l.MemoryTokens)
+		l.AnswerTokens -= min(x.AnswerTokens, l.AnswerTokens)
 		l.SpeedSamples -= min(x.SpeedSamples, l.SpeedSamples)
 		l.SpeedSum -= min(x.SpeedSum, l.SpeedSum)
 		if l.Running > 0 || l.PrefillTokens > 0 || l.SpeedSamples > 0 {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -22,6 +22,9 @@
 	Running float64
 	// MemoryTokens is the number of tokens held in memory by running requests.
 	MemoryTokens float64
+	// AnswerTokens is the number of tokens that the requests in progress are expected to
+	// produce yet, 0 if it is not known.
+	AnswerTokens float64
 }
 
 // Add adds o to l.
@@ -29,6 +32,7 @@
 	l.PrefillTokens += o.PrefillTokens
 	l.Running += o.Running
 	l.MemoryTokens += o.MemoryTokens
+	l.AnswerTokens += o.AnswerTokens
 }
 
 // Candidate is a server that may take a request.
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -64,7 +64,8 @@
 	// contentPattern matches the request content in a line of the content part.
 	contentPattern = regexp.MustCompile(`^\S+ content .*\bcontent=(\w+)`)
 	// partPattern matches a quarantined part of prompts and its key.
-	partPattern = regexp.MustCompile(`^\S+ content .*\bpart=(\S+) unit=(\S+)`)
+	partPattern  = regexp.MustCompile(`^\S+ content .*\bpart=(\S+) unit=(\S+)`)
+	fieldPattern = regexp.MustCompile(`\b([a-z-]+)=(\S+)`)
 	// suspectsPattern matches the parts with losses of a lost attempt.
 	suspectsPattern = regexp.MustCompile(`^\S+ content lost .*\bsuspects=(\S+)`)
 )
@@ -113,9 +114,29 @@
 	for _, l := range slices.Compact(all) {
 		fmt.Fprintln(out, l)
 	}
+	for _, l := range requestLines {
+		explainPrediction(l, out)
+	}
 	return true
 }
 
+// explainPrediction writes what was predicted for a request beside what it took, if the line is
+// its final one and something was predicted.
+func explainPrediction(line string, out io.Writer) {
+	f := map[string]string{}
+	for _, m := range fieldPattern.FindAllStringSubmatch(line, -1) {
+		f[m[1]] = m[2]
+	}
+	if f["predicted"] == "" || f["predicted"] == "0ms" || f["first"] == "" {
+		return
+	}
+	fmt.Fprintf(out, "prediction: first token or answer after %s, was %s", f["predicted"], f["first"])
+	if f["predicted-tokens"] != "" && f["predicted-tokens"] != "0" {
+		fmt.Fprintf(out, "; %s answer tokens, were %s", f["predicted-tokens"], f["tokens"])
+	}
+	fmt.Fprintln(out)
+}
+
 // isAboutPart reports whether a line is about the quarantine of one of the parts, or about
 // an attempt that was lost with one of them.
 func isAboutPart(line string, parts map[string]bool) bool {
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -63,3 +63,15 @@
 		t.Error("found a request that no line mentions")
 	}
 }
+
+// TestExplainShowsPredictions: what was predicted for a request stands beside what it took.
+func TestExplainShowsPredictions(t *testing.T) {
+	line := "2026-01-01T00:00:03.000Z request served id=r-1 server=s-2 predicted=95ms uncached=4049.9 predicted-tokens=300 tokens=287 first=89ms took=2s trail=-"
+	var out strings.Builder
+	if !explain("r-1", []string{line}, &out) {
+		t.Fatal("the request was not found")
+	}
+	if want := "prediction: first token or answer after 95ms, was 89ms; 300 answer tokens, were 287\n"; !strings.HasSuffix(out.String(), want) {
+		t.Errorf("got %q, want the last line to be %q", out.String(), want)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -289,6 +289,7 @@
 	}
 	query.parts = q.call.Parts
 	query.request = placement.Request{PromptTokens: q.call.PromptTokens, AnswerTokens: min(q.answerTokens(), maxPlannedAnswerTokens)}
+	query.answer = *q.predictedAnswer
 	if len(query.parts) > 1 {
 		shared := query.parts[:len(query.parts)-1]
 		query.request.PrefixHash = shared[len(shared)-1].ID
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -482,7 +482,8 @@
 	for _, b := range t.byID {
 		if b.ownLoad.Running > 0 || b.ownLoad.PrefillTokens > 0 {
 			out = append(out, gossip.Load{
-				Server: b.shortHash, PrefillTokens: uint64(max(b.ownLoad.PrefillTokens, 0)), Running: uint64(max(b.ownLoad.Running, 0)), MemoryTokens: uint64(max(b.ownLoad.MemoryTokens, 0)),
+				AnswerTokens: uint64(max(b.ownLoad.AnswerTokens, 0)),
+				Server:       b.shortHash, PrefillTokens: uint64(max(b.ownLoad.PrefillTokens, 0)), Running: uint64(max(b.ownLoad.Running, 0)), MemoryTokens: uint64(max(b.ownLoad.MemoryTokens, 0)),
 			})
 		}
 	}
@@ -558,6 +559,8 @@
 type serverQuery struct {
 	service string
 	route   string
+	// answer is the predicted length of the answer in tokens.
+	answer  cost.Estimate
 	request placement.Request
 	parts   []platform.Part
 	zone    string
@@ -775,7 +778,7 @@
 		}
 		for _, l := range p.loads {
 			s := totals[l.Server]
-			s.Add(placement.Load{PrefillTokens: float64(l.PrefillTokens), Running: float64(l.Running), MemoryTokens: float64(l.MemoryTokens)})
+			s.Add(placement.Load{PrefillTokens: float64(l.PrefillTokens), Running: float64(l.Running), MemoryTokens: float64(l.MemoryTokens), AnswerTokens: float64(l.AnswerTokens)})
 			totals[l.Server] = s
 		}
 	}
@@ -816,7 +819,7 @@
 		choice:    choice,
 		inPrefill: query.request.PromptTokens > 0,
 		health:    healthKey(&b.info),
-		load:      placement.Load{PrefillTokens: choice.UncachedTokens, Running: 1, MemoryTokens: float64(query.request.PromptTokens + query.request.AnswerTokens)},
+		load:      placement.Load{PrefillTokens: choice.UncachedTokens, Running: 1, MemoryTokens: float64(query.request.PromptTokens + query.request.AnswerTokens), AnswerTokens: query.answer.Mean},
 	}
 	if !p.inPrefill {
 		p.load = placement.Load{Running: 1}
@@ -867,7 +870,7 @@
 	if p.onRelease != nil {
 		go p.onRelease()
 	}
-	p.server.ownLoad.Add(placement.Load{PrefillTokens: -p.load.PrefillTokens, Running: -p.load.Running, MemoryTokens: -p.load.MemoryTokens})
+	p.server.ownLoad.Add(placement.Load{PrefillTokens: -p.load.PrefillTokens, Running: -p.load.Running, MemoryTokens: -p.load.MemoryTokens, AnswerTokens: -p.load.AnswerTokens})
 }
 
 // recordFull records that the server rejected the attempt for lack of capacity and
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -142,6 +142,19 @@
 	return max(t.health.Slowdown(key, now), 1)
 }
 
+// recordProduced updates what an attempt is expected to produce yet, given the number of tokens
+// that the answer has so far.
+func (t *backendTable) recordProduced(p *placedAttempt, answer *cost.Estimate, produced float64) {
+	if answer == nil {
+		return
+	}
+	left := answer.Remaining(produced)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.server.ownLoad.AnswerTokens += left - p.load.AnswerTokens
+	p.load.AnswerTokens = left
+}
+
 // retainCosts forgets the speed of servers that are no longer in the table. The caller must hold
 // the lock.
 func (t *backendTable) retainCosts() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,6 +78,7 @@
 	}
 	a.progress.countEvent(n.now())
 	q.eventCount++
+	n.backends.recordProduced(a.placed, q.predictedAnswer, float64(q.producedTokens()))
 	if err := q.forwardEvent(a.answer, ev); err != nil {
 		return outcomeCallerLeft, true
 	}
--- a/internal/protocol/digest/digest.go
+++ b/internal/protocol/digest/digest.go
@@ -58,12 +58,13 @@
 	flagCutOff
 )
 
-// memoryUnitTokens and prefillUnitTokens are the numbers of tokens per unit on the
+// memoryUnitTokens, prefillUnitTokens and answerUnitTokens are the numbers of tokens per unit on the
 // wire. The coarse units save bytes, because traffic between availability zones is
 // expensive. Finer values would not help, as digests are out of date anyway.
 const (
 	memoryUnitTokens  = 256
 	prefillUnitTokens = 64
+	answerUnitTokens  = 64
 )
 
 // appendString appends a string field unless s is empty.
@@ -141,7 +142,8 @@
 		inner = appendVarint(inner, 3, l.Running)
 		inner = appendVarint(inner, 4, l.MemoryTokens/memoryUnitTokens)
 		inner = appendVarint(inner, 5, l.SpeedSamples)
-		b = appendMessage(b, fieldLoad, appendVarint(inner, 6, l.SpeedSum))
+		inner = appendVarint(inner, 6, l.SpeedSum)
+		b = appendMessage(b, fieldLoad, appendVarint(inner, 7, (l.AnswerTokens+answerUnitTokens-1)/answerUnitTokens))
 	}
 	for _, q := range d.AdmittedTotals {
 		inner = appendVarint(inner[:0], 1, uint64(q.Workspace))
@@ -367,6 +369,7 @@
 	case fieldLoad:
 		d.Loads = append(d.Loads, gossip.Load{
 			Server: uint32(v[1]), PrefillTokens: clamp(v[2]) * prefillUnitTokens, Running: clamp(v[3]), MemoryTokens: clamp(v[4]) * memoryUnitTokens,
+			AnswerTokens: clamp(v[7]) * answerUnitTokens,
 			SpeedSamples: clamp(v[5]), SpeedSum: clamp(v[6]),
 		})
 	case fieldQuota:
--- a/internal/protocol/digest/golden_test.go
+++ b/internal/protocol/digest/golden_test.go
@@ -72,17 +72,18 @@
 	}
 }
 
-// TestSpeedSamplesAreOptional: samples of servers' speeds are added to a load as numbers, which
-// earlier builds ignore, and a load without them has the bytes of before.
-func TestSpeedSamplesAreOptional(t *testing.T) {
+// TestLearnedCostsAreOptional: the tokens that requests are expected to produce and samples of
+// servers' speeds are added to a load as numbers, which earlier builds ignore, and a load without
+// them has the bytes of before.
+func TestLearnedCostsAreOptional(t *testing.T) {
 	d := sampleDigest()
 	before := Marshal(d)
-	d.Loads[0].SpeedSamples, d.Loads[0].SpeedSum = 3, 51
+	d.Loads[0].SpeedSamples, d.Loads[0].SpeedSum, d.Loads[0].AnswerTokens = 3, 51, 640
 	got, err := Unmarshal(Marshal(d))
 	if err != nil || !reflect.DeepEqual(got, d) {
 		t.Errorf("got %+v, error %v\nwant %+v", got, err, d)
 	}
-	if added := len(Marshal(d)) - len(before); added != 4 {
-		t.Errorf("samples take %d bytes, want 4", added)
+	if added := len(Marshal(d)) - len(before); added != 6 {
+		t.Errorf("they take %d bytes, want 6", added)
 	}
 }
