--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -301,6 +301,7 @@
 	}
 	query.parts = q.call.Parts
 	query.request = placement.Request{PromptTokens: q.call.PromptTokens, AnswerTokens: min(q.answerTokens(), maxPlannedAnswerTokens), LatencyTarget: q.route.LatencyTarget, PauseTarget: q.route.PauseTarget, Nodes: q.node.backends.members()}
+	query.answer = *q.predictedAnswer
 	if len(query.parts) > 1 {
 		shared := query.parts[:len(query.parts)-1]
 		query.request.PrefixHash = shared[len(shared)-1].ID
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/cost"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/placement"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -56,6 +57,8 @@
 type serverQuery struct {
 	service string
 	route   string
+	// answer is the predicted length of the answer in tokens.
+	answer  cost.Estimate
 	request placement.Request
 	parts   []platform.Part
 	zone    string
@@ -214,7 +217,7 @@
 		}
 		for _, l := range p.loads {
 			s := totals[l.Server]
-			s.Add(placement.Load{PrefillTokens: float64(l.PrefillTokens), Running: float64(l.Running), MemoryTokens: float64(l.MemoryTokens)})
+			s.Add(placement.Load{PrefillTokens: float64(l.PrefillTokens), Running: float64(l.Running), MemoryTokens: float64(l.MemoryTokens), AnswerTokens: float64(l.AnswerTokens)})
 			totals[l.Server] = s
 		}
 	}
--- a/internal/gateway/reservations.go
+++ b/internal/gateway/reservations.go
@@ -41,7 +41,8 @@
 	for _, b := range t.byID {
 		if b.ownLoad.Running > 0 || b.ownLoad.PrefillTokens > 0 {
 			out = append(out, gossip.Load{
-				Server: b.shortHash, PrefillTokens: uint64(max(b.ownLoad.PrefillTokens, 0)), Running: uint64(max(b.ownLoad.Running, 0)), MemoryTokens: uint64(max(b.ownLoad.MemoryTokens, 0)),
+				AnswerTokens: uint64(max(b.ownLoad.AnswerTokens, 0)),
+				Server:       b.shortHash, PrefillTokens: uint64(max(b.ownLoad.PrefillTokens, 0)), Running: uint64(max(b.ownLoad.Running, 0)), MemoryTokens: uint64(max(b.ownLoad.MemoryTokens, 0)),
 			})
 		}
 	}
@@ -76,7 +77,7 @@
 		inPrefill: query.request.PromptTokens > 0,
 		isCold:    t.cold.IsCold(b.id, now),
 		health:    healthKey(&b.info),
-		load:      placement.Load{PrefillTokens: choice.UncachedTokens, Running: 1, MemoryTokens: float64(query.request.PromptTokens + query.request.AnswerTokens)},
+		load:      placement.Load{PrefillTokens: choice.UncachedTokens, Running: 1, MemoryTokens: float64(query.request.PromptTokens + query.request.AnswerTokens), AnswerTokens: query.answer.Mean},
 	}
 	if !p.inPrefill {
 		p.load = placement.Load{Running: 1}
@@ -127,7 +128,7 @@
 	if p.onRelease != nil {
 		go p.onRelease()
 	}
-	p.server.ownLoad.Add(placement.Load{PrefillTokens: -p.load.PrefillTokens, Running: -p.load.Running, MemoryTokens: -p.load.MemoryTokens})
+	p.server.ownLoad.Add(placement.Load{PrefillTokens: -p.load.PrefillTokens, Running: -p.load.Running, MemoryTokens: -p.load.MemoryTokens, AnswerTokens: -p.load.AnswerTokens})
 }
 
 // recordFull records that the server rejected the attempt for lack of capacity and
