--- a/internal/coordination/coldservers/coldservers.go
+++ b/internal/coordination/coldservers/coldservers.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/serverlimit"
@@ -57,6 +58,9 @@
 
 // Table holds which servers are cold. It is safe for concurrent use; its lock is a leaf lock.
 type Table struct {
+	// count is the number of entries. IsCold is asked for each server of a choice, and takes no
+	// lock while it is 0.
+	count   atomic.Int64
 	mu      sync.RWMutex
 	entries map[string]*entry
 }
@@ -86,6 +90,7 @@
 		}
 		e = &entry{}
 		t.entries[server] = e
+		t.count.Store(int64(len(t.entries)))
 	}
 	until := now.Add(max(left, 0))
 	switch {
@@ -105,6 +110,9 @@
 
 // IsCold reports whether a server is cold.
 func (t *Table) IsCold(server string, now time.Time) bool {
+	if t.count.Load() == 0 {
+		return false
+	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	e := t.entries[server]
@@ -124,6 +132,7 @@
 		}
 		delete(t.entries, server)
 	}
+	t.count.Store(int64(len(t.entries)))
 	return turnedWarm
 }
 
--- a/internal/coordination/zoneevacuation/zoneevacuation.go
+++ b/internal/coordination/zoneevacuation/zoneevacuation.go
@@ -7,13 +7,17 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Table holds the evacuated zones that a VM knows of. It is safe for concurrent use; its lock
 // is a leaf lock.
 type Table struct {
-	mu sync.RWMutex
+	// count is the number of evacuated zones. MaySend is asked for each server of a choice, and
+	// takes no lock while it is 0.
+	count atomic.Int64
+	mu    sync.RWMutex
 	// evacuated holds the zones that are evacuated at present, with what is known of each.
 	evacuated map[string]*evacuation
 	// takenBackAt holds the times at which this VM has learned that zones were taken back.
@@ -39,6 +43,7 @@
 		return false
 	}
 	t.evacuated[zone] = &evacuation{learnedAt: now}
+	t.count.Store(int64(len(t.evacuated)))
 	return true
 }
 
@@ -52,12 +57,16 @@
 		return 0, false
 	}
 	delete(t.evacuated, zone)
+	t.count.Store(int64(len(t.evacuated)))
 	t.takenBackAt[zone] = now
 	return now.Sub(e.learnedAt), true
 }
 
 // MaySend reports whether a request may be sent to a backend server of a zone.
 func (t *Table) MaySend(zone string) bool {
+	if t.count.Load() == 0 {
+		return true
+	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.evacuated[zone] == nil
