gateway: equally suited servers stay in a random order

Of servers that suit a request equally the first of the list is chosen. The list was rebuilt from a map with each new server, so its order differed from VM to VM; in the order of the listing all VMs would have chosen the same ones. A server is now put at a random place of the list.

--- a/internal/gateway/backend_index.go
+++ b/internal/gateway/backend_index.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "slices"
+import (
+	"math/rand/v2"
+	"slices"
+)
 
 // othersAt returns the servers at an address other than the one with the given id.
 func (t *backendTable) othersAt(address, id string) []string {
@@ -19,7 +22,7 @@
 // is not nil. A node that starts puts all servers one by one. The caller must hold the lock.
 func (t *backendTable) index(old, b *backend) {
 	if old == nil {
-		t.byService[b.info.Service] = append(t.byService[b.info.Service], b)
+		t.byService[b.info.Service] = insertedAtRandom(t.byService[b.info.Service], b)
 		t.byAddress[b.info.Address] = append(t.byAddress[b.info.Address], b)
 		return
 	}
@@ -31,8 +34,16 @@
 	t.byAddress[b.info.Address] = replaced(t.byAddress[b.info.Address], old, b)
 }
 
-// replaced returns a copy of list with b in the place of old. Lists are also read without the
-// lock.
+// insertedAtRandom returns list with b at a random place. Of servers that suit a request equally
+// the first one is chosen, which must not be the same one on all nodes.
+func insertedAtRandom(list []*backend, b *backend) []*backend {
+	list = append(list, b)
+	i, last := rand.IntN(len(list)), len(list)-1
+	list[i], list[last] = list[last], list[i]
+	return list
+}
+
+// replaced returns a copy of list with b in the place of old.
 func replaced(list []*backend, old, b *backend) []*backend {
 	out := slices.Clone(list)
 	for i, x := range out {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -313,7 +314,7 @@
 // connections that carry no request.
 func (t *backendTable) forgetFailures(service string) {
 	t.mu.Lock()
-	servers := t.byService[service]
+	servers := slices.Clone(t.byService[service])
 	for _, b := range servers {
 		b.connectFailures, b.unreachableUntil, b.silentUntil = 0, time.Time{}, time.Time{}
 	}
