--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -3,6 +3,7 @@
 // This file records from which servers bytes arrive and which of them are avoided.
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootpath.example/coltsfootpath/internal/state/deployment"
@@ -24,7 +25,7 @@
 // connections that carry no request.
 func (t *backendTable) forgetFailures(service string) {
 	t.mu.Lock()
-	servers := t.byService[service]
+	servers := slices.Clone(t.byService[service])
 	for _, b := range servers {
 		b.connectFailures, b.unreachableUntil, b.silentUntil = 0, time.Time{}, time.Time{}
 	}
