--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -68,12 +68,24 @@
 	SharedTokens int
 	// PrefixHash is the hash of these shared parts, 0 if there are none.
 	PrefixHash uint64
+	// Nodes is the number of nodes that choose from the same loads.
+	Nodes int
+	// LatencyTarget is the target for the time to the first token, and PauseTarget that for
+	// the longest pause between two events of an answer; 0 means that there is none.
+	LatencyTarget, PauseTarget time.Duration
 }
 
 const (
 	// homeCachedShare is the share of the shared tokens assumed to be cached on
 	// the prefix's home server if this node has not sent the prefix there itself.
 	homeCachedShare = 0.9
+	// homeSpeedExponent is the power of a server's speed by which it is the home of more
+	// prefixes. It is above 1 as a prompt's prefill delays all answers of its server.
+	homeSpeedExponent = 2.0
+	// sampledServers is the mean number of servers that a request with a prompt considers
+	// beside those that have its prefix, if other nodes choose from the same loads. Nodes
+	// that consider different servers do not all send long prompts to the same one.
+	sampledServers = 6.0
 	// recomputeWeight multiplies the time of uncached tokens: computing them
 	// also delays the answers in the same batch and evicts other prefixes from
 	// the cache.
@@ -81,6 +93,14 @@
 	// crossZoneCostMillis is added to the score of a server in another
 	// availability zone.
 	crossZoneCostMillis = 0.5
+	// answerWeight multiplies the time of an answer's tokens, of which
+	// maxWeighedAnswerTokens count at most: each of them waits for the others of its batch.
+	answerWeight           = 0.1
+	maxWeighedAnswerTokens = 400
+	// fastServerCostMillis is added to the score of a server that needs no time at all, and
+	// in proportion to that of others faster than an ordinary one. Requests with a latency
+	// target that have time to spare leave them to prompts that are in time only there.
+	fastServerCostMillis = 120.0
 	// typicalAnswerTokens is the assumed length of each answer that has to end
 	// before a waiting request gets a slot.
 	typicalAnswerTokens = 250
@@ -119,26 +139,36 @@
 // all requests, and ejected ones if there is no other, as any server is better
 // than none.
 func Choose(rates cost.Rates, req Request, candidates []Candidate, random *rand.Rand) Choice {
+	home := homeIndex(req.PrefixHash, candidates)
 	for _, eligible := range []func(c *Candidate) bool{
 		func(c *Candidate) bool { return c.Weight >= 1 || c.Weight > 0 && random.Float64() < c.Weight },
 		func(c *Candidate) bool { return c.Weight > 0 },
 		func(*Candidate) bool { return true },
 	} {
-		if best := lowestScore(rates, req, candidates, eligible, random); best.Index >= 0 {
-			return best
+		for _, share := range []float64{sampledShare(&req, len(candidates)), 1} {
+			if best := lowestScore(rates, req, candidates, home, share, eligible, random); best.Index >= 0 {
+				return best
+			}
 		}
 	}
 	return Choice{Index: -1}
 }
 
+// sampledShare returns the share of the servers without a request's prefix that it considers.
+func sampledShare(req *Request, servers int) float64 {
+	if req.Nodes <= 1 || req.PromptTokens == 0 {
+		return 1
+	}
+	return min(sampledServers/float64(max(servers, 1)), 1)
+}
+
 // lowestScore returns the candidate with the lowest score among those that are
-// eligible.
-func lowestScore(rates cost.Rates, req Request, candidates []Candidate, eligible func(c *Candidate) bool, random *rand.Rand) Choice {
-	home := homeIndex(req.PrefixHash, candidates)
+// eligible, of which only a random share is considered unless they have the prefix.
+func lowestScore(rates cost.Rates, req Request, candidates []Candidate, home int, share float64, eligible func(c *Candidate) bool, random *rand.Rand) Choice {
 	best, lowest := Choice{Index: -1}, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if !eligible(c) {
+		if !eligible(c) || share < 1 && i != home && c.CachedTokens == 0 && random.Float64() >= share {
 			continue
 		}
 		choice, score := weigh(rates, req, c, i == home)
@@ -152,25 +182,36 @@
 }
 
 // homeIndex returns the index of a prefix's home server, chosen by rendezvous
-// hashing: the server with the highest hash of prefix and server together.
-// Removing a server moves only the prefixes that had their home there. It
+// hashing: the server with the highest hash of prefix and server together, weighted by
+// its speed. Removing a server moves only the prefixes that had their home there. It
 // returns -1 if there is no prefix or no healthy server.
 func homeIndex(prefix uint64, candidates []Candidate) int {
 	if prefix == 0 {
 		return -1
 	}
-	home, highest := -1, uint64(0)
+	home, highest := -1, math.Inf(-1)
 	for i := range candidates {
 		if candidates[i].Weight < 1 {
 			continue
 		}
-		if h := mix(prefix ^ candidates[i].Hash); home < 0 || h > highest {
+		// -ln(u)/weight has an exponential distribution, so each server has the lowest value
+		// with a probability in proportion to its weight.
+		u := (float64(mix(prefix^candidates[i].Hash)>>11) + 0.5) / (1 << 53)
+		if h := math.Log(u) / homeWeight(candidates[i].Slowdown); h > highest {
 			home, highest = i, h
 		}
 	}
 	return home
 }
 
+// homeWeight returns the weight of a server among the homes of prefixes.
+func homeWeight(slowdown float64) float64 {
+	if slowdown <= 0 {
+		return 1
+	}
+	return math.Pow(slowdown, -homeSpeedExponent)
+}
+
 // mix is a hash finalizer: every bit of x affects all bits of the result.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
@@ -181,8 +222,9 @@
 }
 
 // weigh predicts the times of a request on a candidate and returns them with
-// its score in milliseconds. isHome is true for the home server of the request's
-// prefix.
+// its score in milliseconds: what the request waits, what it takes from others, and the
+// targets that are missed because of it. isHome is true for the home server of the
+// request's prefix.
 func weigh(rates cost.Rates, req Request, c *Candidate, isHome bool) (Choice, float64) {
 	if req.PromptTokens == 0 {
 		return weighCall(rates, c)
@@ -194,8 +236,13 @@
 	uncachedTokens := max(float64(req.PromptTokens)-cachedTokens, 1)
 	step := stepTime(rates, c)
 	wait := rates.FirstTokenMillis(0, c.Load.PrefillTokens, c.running()) + slotWait(rates, c)
-	firstToken := (wait + rates.PrefillMillis(uncachedTokens)) * c.Slowdown
-	score := firstToken + recomputeWeight*rates.PrefillMillis(uncachedTokens) + float64(min(req.AnswerTokens, 400))*0.1*step*c.Slowdown
+	prefill := rates.PrefillMillis(uncachedTokens)
+	firstToken := (wait + prefill) * c.Slowdown
+	score := ownDelayWeight(&req)*firstToken + recomputeWeight*prefill*c.Slowdown + answerWeight*float64(min(req.AnswerTokens, maxWeighedAnswerTokens))*step
+	score += missCostMillis * (missProbability(firstToken, req.LatencyTarget) + addedLongPauses(rates, &req, c, uncachedTokens))
+	if req.LatencyTarget > 0 {
+		score += fastServerCostMillis * max(1-c.Slowdown, 0)
+	}
 	if memoryLimit := MaxMemoryShare * float64(c.MemoryTokens); memoryLimit > 0 {
 		if excess := c.Load.MemoryTokens + float64(req.PromptTokens+req.AnswerTokens) - memoryLimit; excess > 0 {
 			score += memoryOverflowCostMillis * excess / memoryLimit
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -25,7 +25,7 @@
 	if answer.OnNewConnection && !a.isTunneled.Load() {
 		q.node.recordLinkWorked(a.placed.server, a.startedAt)
 	}
-	if !a.head.NotRun {
+	if !a.head.NotRun && a.copy == "" {
 		q.possibleRuns++
 	}
 }
@@ -169,6 +169,9 @@
 	if q.timeToFirstByte > 0 {
 		n.metrics.firstAnswerSeconds.WithLabelValues(q.routeName()).Observe(q.timeToFirstByte.Seconds())
 	}
+	if q.hasLongPause() {
+		n.metrics.longPauses.WithLabelValues(q.routeName()).Inc()
+	}
 	q.logResult(outcome, reason, status)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,6 +46,8 @@
 	// stream is the answer to the caller, nil until its head has been sent.
 	stream          *httpserver.Stream
 	timeToFirstByte time.Duration
+	// longestPause is the longest time between two events that were forwarded.
+	longestPause time.Duration
 	// predictedFirstToken is the time to the first token that was predicted for the
 	// last attempt.
 	predictedFirstToken time.Duration
@@ -65,8 +67,10 @@
 	// the request is a trial. It is then sent to one server only.
 	trialUnits []uint64
 	trail      string
-	// progressAt is the time of the last event forwarded, or of the request's arrival.
-	progressAt time.Time
+	// progressAt is the time of the last event forwarded, or of the request's arrival, and
+	// hasForwarded is set once an event was forwarded.
+	progressAt   time.Time
+	hasForwarded bool
 	// isCounted is set once the request is counted in its workspace's usage.
 	isCounted bool
 	// moves counts the attempts that were given up for a better one.
@@ -107,9 +111,11 @@
 	// outcomeUnneeded means that the attempt was to take the request over from a silent
 	// one, which has gone on.
 	outcomeUnneeded
+	// outcomeRelocated means that the request goes on with its memory on another server.
+	outcomeRelocated
 )
 
-var outcomeNames = [...]string{"answered", "not-sent", "not-run", "failed", "lost", "silent", "caller-left", "late", "unneeded"}
+var outcomeNames = [...]string{"answered", "not-sent", "not-run", "failed", "lost", "silent", "caller-left", "late", "unneeded", "relocated"}
 
 func (o attemptOutcome) String() string { return outcomeNames[o] }
 
@@ -257,9 +263,15 @@
 	case outcomeCallerLeft, outcomeDeadline:
 		q.finish(outcome, outcome.String())
 		return true
-	case outcomeNotSent:
-		return false
-	case outcomeNotRun:
+	case outcomeNotSent, outcomeNotRun:
+		if q.possibleRuns > 0 && !q.mayRetry() {
+			// The copy of its memory is lost.
+			q.finish(outcomeLost, outcome.String())
+			return true
+		}
+		if outcome == outcomeNotSent {
+			return false
+		}
 		if q.fullServers > maxFullServers {
 			q.finish(outcome, "servers-full")
 			return true
@@ -288,7 +300,7 @@
 		return query
 	}
 	query.parts = q.call.Parts
-	query.request = placement.Request{PromptTokens: q.call.PromptTokens, AnswerTokens: min(q.answerTokens(), maxPlannedAnswerTokens)}
+	query.request = placement.Request{PromptTokens: q.call.PromptTokens, AnswerTokens: min(q.answerTokens(), maxPlannedAnswerTokens), LatencyTarget: q.route.LatencyTarget, PauseTarget: q.route.PauseTarget, Nodes: q.node.backends.members()}
 	query.answer = *q.predictedAnswer
 	if len(query.parts) > 1 {
 		shared := query.parts[:len(query.parts)-1]
@@ -303,8 +315,11 @@
 // attempt is one attempt in progress. Its own goroutine exchanges the request with the
 // server; everything else is done by the request's goroutine, which receives from arrivals.
 type attempt struct {
-	q         *request
-	placed    *placedAttempt
+	q      *request
+	placed *placedAttempt
+	// copy names the copy of the request's memory with which the run goes on, empty if it
+	// begins anew.
+	copy      string
 	ctx       context.Context
 	cancel    context.CancelFunc
 	startedAt time.Time
@@ -342,11 +357,17 @@
 // startAttempt starts to send the request to a server, on the given connection if there is
 // one. The attempt's end method must be called.
 func (q *request) startAttempt(ctx context.Context, p *placedAttempt, connection *upstream.Connection) *attempt {
+	return q.startAttemptWith(ctx, p, connection, "")
+}
+
+// startAttemptWith starts an attempt that goes on with a copy of the request's memory, empty for
+// none.
+func (q *request) startAttemptWith(ctx context.Context, p *placedAttempt, connection *upstream.Connection, memoryCopy string) *attempt {
 	now := q.node.now()
-	a := &attempt{q: q, placed: p, startedAt: now, progressAt: now, arrivals: make(chan arrival), left: make(chan struct{})}
+	a := &attempt{q: q, placed: p, copy: memoryCopy, startedAt: now, progressAt: now, arrivals: make(chan arrival), left: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	q.node.moves.attemptStarted(p, q.routeName(), a.startedAt)
-	request := q.upstreamRequest(p, a.startedAt)
+	request := q.upstreamRequest(p, a.startedAt, memoryCopy)
 	request.Connection = connection
 	request.MaySend = a.maySend
 	request.OnData = func() { a.lastByteAt.Store(int64(time.Since(a.startedAt))) }
@@ -369,13 +390,31 @@
 	}
 	w := newSilenceWatch(ctx, a)
 	defer w.stop()
+	r := &relocation{a: a}
+	defer r.stop()
 	for {
 		select {
 		case x := <-a.arrivals:
+			if x.kind == arrivedEnd && !a.isComplete(x) {
+				if next := r.streamEnded(ctx); next != nil {
+					return outcomeRelocated, next
+				}
+			}
 			if outcome, next, ended := w.arrived(x); ended {
 				return outcome, next
 			}
 			continue
+		case <-r.leaving():
+			r.start(ctx, w)
+			continue
+		case result := <-r.results():
+			r.received(result)
+			continue
+		case <-r.lastEventsDue():
+			if next := r.continueRun(ctx); next != nil {
+				return outcomeRelocated, next
+			}
+			continue
 		case <-w.expired():
 			next = w.timedOut()
 		case r := <-w.found():
@@ -406,6 +445,10 @@
 // maySend reports whether the request may still be sent, when a connection is at hand.
 func (a *attempt) maySend() bool {
 	n := a.q.node
+	if n.backends.isEvacuated(&a.placed.info) {
+		n.metrics.diverted.WithLabelValues(a.q.service, "evacuated").Inc()
+		return false
+	}
 	return n.backends.maySend(a.placed, n.now()) && a.sending.CompareAndSwap(notSent, sent)
 }
 
@@ -497,13 +540,14 @@
 	return outcome
 }
 
-func (q *request) upstreamRequest(p *placedAttempt, now time.Time) upstream.Request {
+func (q *request) upstreamRequest(p *placedAttempt, now time.Time, memoryCopy string) upstream.Request {
 	forward := platform.ForwardedFields{
 		Server:    p.server.id,
 		Workspace: q.workspaceName(),
 		Timeout:   q.deadline.Sub(now),
 		Priority:  q.priority(),
 		LastEvent: q.lastEventID,
+		Copy:      memoryCopy,
 	}
 	maxIdle := maxIdleRepeatable
 	if !q.route.MayRepeat() {
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -103,7 +103,7 @@
 		AnswerTokens:      q.producedTokens(),
 		AnswerTime:        a.progress.lastAt.Sub(a.progress.firstAt),
 		Complete:          outcome == outcomeAnswered,
-		Excluded:          q.moves > 0 || q.sentCount > 1 || a.isNoEvidence || a.isTunneled.Load() || waitsForSlot(p) || isCold(&p.info, now),
+		Excluded:          q.moves > 0 || a.copy != "" || p.isCold || q.sentCount > 1 || a.isNoEvidence || a.isTunneled.Load() || waitsForSlot(p) || isCold(&p.info, now),
 	}
 	if a.progress.events > 0 {
 		o.FirstTokens = q.tokensPerEvent()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,11 +9,13 @@
 	registry           *prometheus.Registry
 	requests           *prometheus.CounterVec
 	firstAnswerSeconds *prometheus.HistogramVec
+	longPauses         *prometheus.CounterVec
 	answerSeconds      *prometheus.HistogramVec
 	predictionError    *prometheus.HistogramVec
 	attempts           *prometheus.CounterVec
 	answerEnds         *prometheus.CounterVec
 	searches           *prometheus.CounterVec
+	relocations        *prometheus.CounterVec
 	platformCalls      *prometheus.CounterVec
 	contentLosses      *prometheus.CounterVec
 	contentRefusals    *prometheus.CounterVec
@@ -33,6 +35,9 @@
 	utilizationLimit   *prometheus.GaugeVec
 	panics             *prometheus.CounterVec
 	brittleServers     *prometheus.GaugeVec
+	evacuatedZones     *prometheus.GaugeVec
+	coldServers        *prometheus.GaugeVec
+	diverted           *prometheus.CounterVec
 	tunnels            *prometheus.CounterVec
 	servedTunnels      prometheus.Gauge
 	linksCut           *prometheus.GaugeVec
@@ -64,11 +69,13 @@
 		registry:           prometheus.NewRegistry(),
 		requests:           counter("requests_total", "Requests by route and outcome.", "route", "outcome"),
 		firstAnswerSeconds: histogram("first_answer_seconds", "Time to the first byte of an answer."),
+		longPauses:         counter("long_pauses_total", "Answers with a pause between two events that is over the route's target.", "route"),
 		answerSeconds:      histogram("answer_seconds", "Time to the end of an answer."),
 		predictionError: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "coltsfoot_gateway_prediction_error_ratio", Help: "Measured time to the first token, or length of the answer in tokens, over the predicted one, by route, service and part.", Buckets: errorBuckets,
 		}, []string{"route", "service", "part"}),
 		attempts:        counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
+		relocations:     counter("relocations_total", "Streams on reclaimable servers that leave, by service and what became of their move to another server.", "service", "end"),
 		answerEnds:      counter("answer_ends_total", "Answers of backend servers by service, framing and end.", "service", "framing", "end"),
 		searches:        counter("replacement_searches_total", "Searches for another server while an attempt was silent, by service and end.", "service", "end"),
 		platformCalls:   counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
@@ -100,6 +107,13 @@
 		brittleServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_brittle_server_places", Help: "Places of a backend server that states that it fails if it has to reject many requests.",
 		}, []string{"server", "service"}),
+		evacuatedZones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_evacuated_zone", Help: "1 while the operator has evacuated the availability zone.",
+		}, []string{"zone"}),
+		coldServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_cold_servers", Help: "Backend servers that are cold.",
+		}, []string{"service"}),
+		diverted:      counter("diverted_total", "Attempts that were not sent to the chosen server because its zone was evacuated meanwhile or because it is cold and had no room, by service and cause.", "service", "cause"),
 		tunnels:       counter("tunnels_total", "Connections to backend servers that peers were asked for as the VM's own links to them were cut, by service and result.", "service", "result"),
 		servedTunnels: gauge("served_tunnels", "Connections to backend servers that are open for peers."),
 		linksCut: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -116,7 +130,7 @@
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.answerSeconds, m.predictionError, m.attempts, m.answerEnds, m.searches, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.longPauses, m.answerSeconds, m.predictionError, m.attempts, m.answerEnds, m.searches, m.relocations, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.evacuatedZones, m.coldServers, m.diverted, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
 	return m
 }
