--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -380,7 +380,6 @@
 		t.reindex()
 		t.health.Retain(func(id string) bool { return t.byID[id] != nil })
 		t.retainCosts()
-		t.retainCosts()
 	}
 	t.mu.Unlock()
 	for _, p := range pools {
