gateway: the test of cold servers waits for the line that they are warm

Change: the test waits for the line as for its other conditions, and fails without it. Measured: go test ./internal/gateway -run TestColdServers.

--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -106,9 +106,7 @@
 				}
 			}
 			for _, event := range []string{"cold", "warm"} {
-				if !c.logs.hasLine("servers", event+" ", "server=s-0") {
-					t.Errorf("no line states that the server is %s", event)
-				}
+				c.eventually("a line states that the server is "+event, func() bool { return c.logs.hasLine("servers", event+" ", "server=s-0") })
 			}
 		})
 	}
