--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -73,6 +73,8 @@
 	// LatencyTarget is the target for the time to the first token, and PauseTarget that for
 	// the longest pause between two events of an answer; 0 means that there is none.
 	LatencyTarget, PauseTarget time.Duration
+	// weighsTargets is set by Choose if targets and speeds count in the choice.
+	weighsTargets bool
 }
 
 const (
@@ -139,6 +141,7 @@
 // all requests, and ejected ones if there is no other, as any server is better
 // than none.
 func Choose(rates cost.Rates, req Request, candidates []Candidate, random *rand.Rand) Choice {
+	req.weighsTargets = haveSmallBatches(candidates)
 	home := homeIndex(req.PrefixHash, candidates)
 	for _, eligible := range []func(c *Candidate) bool{
 		func(c *Candidate) bool { return c.Weight >= 1 || c.Weight > 0 && random.Float64() < c.Weight },
@@ -156,7 +159,7 @@
 
 // sampledShare returns the share of the servers without a request's prefix that it considers.
 func sampledShare(req *Request, servers int) float64 {
-	if req.Nodes <= 1 || req.PromptTokens == 0 {
+	if !req.weighsTargets || req.Nodes <= 1 || req.PromptTokens == 0 {
 		return 1
 	}
 	return min(sampledServers/float64(max(servers, 1)), 1)
@@ -190,6 +193,7 @@
 		return -1
 	}
 	home, highest := -1, math.Inf(-1)
+	bySpeed := haveSmallBatches(candidates)
 	for i := range candidates {
 		if candidates[i].Weight < 1 {
 			continue
@@ -197,7 +201,7 @@
 		// -ln(u)/weight has an exponential distribution, so each server has the lowest value
 		// with a probability in proportion to its weight.
 		u := (float64(mix(prefix^candidates[i].Hash)>>11) + 0.5) / (1 << 53)
-		if h := math.Log(u) / homeWeight(candidates[i].Slowdown); h > highest {
+		if h := math.Log(u) / homeWeight(candidates[i].Slowdown, bySpeed); h > highest {
 			home, highest = i, h
 		}
 	}
@@ -205,8 +209,8 @@
 }
 
 // homeWeight returns the weight of a server among the homes of prefixes.
-func homeWeight(slowdown float64) float64 {
-	if slowdown <= 0 {
+func homeWeight(slowdown float64, bySpeed bool) float64 {
+	if !bySpeed || slowdown <= 0 {
 		return 1
 	}
 	return math.Pow(slowdown, -homeSpeedExponent)
@@ -237,11 +241,15 @@
 	step := stepTime(rates, c)
 	wait := rates.FirstTokenMillis(0, c.Load.PrefillTokens, c.running()) + slotWait(rates, c)
 	prefill := rates.PrefillMillis(uncachedTokens)
+	answer := answerWeight * float64(min(req.AnswerTokens, maxWeighedAnswerTokens)) * step
 	firstToken := (wait + prefill) * c.Slowdown
-	score := ownDelayWeight(&req)*firstToken + recomputeWeight*prefill*c.Slowdown + answerWeight*float64(min(req.AnswerTokens, maxWeighedAnswerTokens))*step
-	score += missCostMillis * (missProbability(firstToken, req.LatencyTarget) + addedLongPauses(rates, &req, c, uncachedTokens))
-	if req.LatencyTarget > 0 {
-		score += fastServerCostMillis * max(1-c.Slowdown, 0)
+	score := firstToken + recomputeWeight*prefill + answer*max(c.Slowdown, 1)
+	if req.weighsTargets {
+		score = ownDelayWeight(&req)*firstToken + recomputeWeight*prefill*c.Slowdown + answer
+		score += missCostMillis * (missProbability(firstToken, req.LatencyTarget) + addedLongPauses(rates, &req, c, uncachedTokens))
+		if req.LatencyTarget > 0 {
+			score += fastServerCostMillis * max(1-c.Slowdown, 0)
+		}
 	}
 	if memoryLimit := MaxMemoryShare * float64(c.MemoryTokens); memoryLimit > 0 {
 		if excess := c.Load.MemoryTokens + float64(req.PromptTokens+req.AnswerTokens) - memoryLimit; excess > 0 {
--- a/internal/coordination/placement/targets.go
+++ b/internal/coordination/placement/targets.go
@@ -24,6 +24,16 @@
 	maxPrefillPerEvent = eventTokens * 2048
 )
 
+// maxSmallBatch is the number of slots up to which targets and speeds count in the choice of a
+// server. In larger batches a prompt is spread over the steps of many answers, and the choice
+// by the least delay serves callers better.
+const maxSmallBatch = 32
+
+// haveSmallBatches reports whether the servers run few requests at once.
+func haveSmallBatches(candidates []Candidate) bool {
+	return len(candidates) > 0 && candidates[0].Slots > 0 && candidates[0].Slots <= maxSmallBatch
+}
+
 // missProbability returns the probability that a time with this prediction, in milliseconds,
 // exceeds the target.
 func missProbability(predicted float64, target time.Duration) float64 {
