Review: show that keys taken away after the store is back are still taken

Cause: a check of the store waits up to 1.6 times the bound of a configuration for an answer that never comes, and is not left when peers have read further.

--- a/review/_lab/cluster.go
+++ b/review/_lab/cluster.go
@@ -44,8 +44,10 @@
 type machine struct {
 	name, ip, zone string
 	cloud          string
-	firstStart     bool
-	memoryMB       int
+	// store is the address of the store for this machine, empty for the common one.
+	store      string
+	firstStart bool
+	memoryMB   int
 
 	settings string
 	cmd      *exec.Cmd
@@ -184,8 +186,12 @@
 	if m.firstStart {
 		first = "first_start = true"
 	}
+	store := m.store
+	if store == "" {
+		store = c.store.Address()
+	}
 	text := fmt.Sprintf(settingsText, m.name, m.zone, m.memoryMB, first, c.grace, m.address(portCallers), m.address(portReady), m.address(portDirectory),
-		m.address(portPeers), m.address(portMetrics), strings.Join(seeds, ","), c.store.Address(), m.cloud)
+		m.address(portPeers), m.address(portMetrics), strings.Join(seeds, ","), store, m.cloud)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
