--- a/review/_lab/cloud.go
+++ b/review/_lab/cloud.go
@@ -7,28 +7,15 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 )
 
-// duty is a call for a singleton duty that the platform has accepted.
-type duty struct {
-	at      time.Time
-	machine string
-	holder  string
-	token   uint64
-	subject string
-	window  int64
-	counts  string
-}
-
 // cloud is a stand-in for the platform's calls for singleton duties. Each machine has an address
 // of its own, by which the machine that calls is told from others.
 type cloud struct {
 	rec *record
 
-	mu       sync.Mutex
-	highest  map[string]uint64
-	accepted []duty
+	mu      sync.Mutex
+	highest map[string]uint64
 }
 
 func newCloud(rec *record) *cloud { return &cloud{rec: rec, highest: map[string]uint64{}} }
@@ -75,14 +62,6 @@
 	}
 	c.highest[subject] = token
 	counts, _ := json.Marshal(in.Counts)
-	c.accepted = append(c.accepted, duty{at: time.Now(), machine: machine, holder: holder, token: token, subject: subject, window: in.Window, counts: string(counts)})
 	c.rec.addf("cloud: accepts %s from machine %s, holder=%s fence=%d window=%d counts=%s", subject, machine, holder, token, in.Window, counts)
 	w.WriteHeader(http.StatusOK)
 }
-
-// calls returns the accepted calls.
-func (c *cloud) calls() []duty {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return append([]duty(nil), c.accepted...)
-}
