Gateway: log each failed call for a topic's records

A VM that is behind after the store was silent logged one line when the store was lost and one when it was regained. They don't tell whether it waited in a call, in a pause, for a peer or for nothing to ask. Each failed call now states how long it lasted, its number, the peer that has read further and the age of the last confirmation; 'regained' states how long the store was lost and how long the answered call took.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -76,6 +76,8 @@
 	// inStep is set if other readers may begin their next read at the same time as this
 	// node.
 	inStep bool
+	// lostAt is the time of the first of the consecutive failed calls.
+	lostAt time.Time
 	// nextRelayAt is the earliest time of the next call to a peer.
 	nextRelayAt time.Time
 	// listing is a listing of all keys that has not ended yet, nil if there is none.
@@ -123,6 +125,7 @@
 			f.synced = false
 		}
 		var err error
+		begunAt := f.node.now()
 		switch {
 		case !f.synced:
 			if wait := f.listingWait(); wait > 0 {
@@ -138,7 +141,7 @@
 		switch {
 		case err == nil:
 			f.synced = true
-			f.recordSuccess()
+			f.recordSuccess(begunAt)
 			f.expire()
 			sleep(ctx, f.readPause)
 		case errors.Is(err, errReadDoubted):
@@ -152,7 +155,7 @@
 			sleep(ctx, storeBackoff)
 		case errors.IsAny(err, errPeerAhead, errListingWaits):
 		default:
-			f.recordFailure(err)
+			f.recordFailure(err, f.node.now().Sub(begunAt))
 			f.expireWithoutStore(ahead)
 			f.waitForWakeup(ctx, min(storeBackoff<<min(f.failures.Load(), 4), maxStoreBackoff))
 		}
@@ -216,17 +219,26 @@
 	}
 }
 
-func (f *follower) recordSuccess() {
+func (f *follower) recordSuccess(begunAt time.Time) {
 	if failures := f.failures.Swap(0); failures > 0 {
-		f.node.log.Event("store", "regained", "topic", f.topic, "failures", int(failures))
+		now := f.node.now()
+		f.node.log.Event("store", "regained", "topic", f.topic, "failures", int(failures), "lost-for", now.Sub(f.lostAt), "answered-after", now.Sub(begunAt), "end", f.end())
 	}
 	f.node.storeReads.setReadsStore(f.topic, true)
 }
 
-func (f *follower) recordFailure(err error) {
-	if f.failures.Add(1) == 1 {
+// recordFailure records a call to the store that failed after some time.
+func (f *follower) recordFailure(err error, after time.Duration) {
+	failures := f.failures.Add(1)
+	if failures == 1 {
+		f.lostAt = f.node.now()
 		f.node.log.Failure("store", "lost", "topic", f.topic, "error", err)
 	}
+	peer, ahead := f.peerAhead()
+	if !ahead {
+		peer = "none"
+	}
+	f.node.log.Event("store", "call-failed", "topic", f.topic, "failures", int(failures), "after", after, "peer-ahead", peer, "confirmed-ago", f.node.now().Sub(f.confirmation().At), "error", err)
 	f.nextRelayAt = time.Time{}
 	f.node.storeReads.setReadsStore(f.topic, false)
 }
