Gateway: ask the store again beside a call without an answer

Cause: a follower made one call at a time, and after each failed check the next one was waited for twice as long, up to 1.6 times the bound (3.2 s for 2 s, longer than configMs and contactMs). A check that began just before the store came back was never answered, and nothing else was asked meanwhile: neither the store nor the peers that had read on. Relays were bounded by 2.5 s and paused for 1.5 s, whatever the bound.

Change: package catchup decides, as a pure step, which calls are open. The first call to the store stays open for a slow store; while it has no answer another one is made on a new connection after 0.2 of the bound and then every 0.4. Peers that have read further are asked beside that, the next one if one does not answer within 0.2. Whatever answers first counts. A listing's pages are read in the same way. Waits follow from the bound. This works because the longest time between two calls bounds the time from the store's return to an answer: 0.4 of the bound.

--- a/internal/coordination/freshness/freshness.go
+++ b/internal/coordination/freshness/freshness.go
@@ -22,21 +22,40 @@
 	// within spreadShare.
 	backupShare = 0.7
 	spreadShare = 0.1
-	// checkShare bounds a call that the store need not hold open.
-	checkShare = 0.2
+	// silenceShare is the time without a byte of an answer after which a call that the store
+	// need not hold open is made once more, on a new connection. If that is silent too, the
+	// next one follows after repeatShare.
+	silenceShare = 0.2
+	repeatShare  = 0.4
+	// answerShare bounds such a call. It is long, as the store may be slow.
+	answerShare = 1.6
+	// firstPauseShare is the pause after a call that has failed, doubled with each further
+	// one up to maxPauseShare. The store counts rejected calls too.
+	firstPauseShare = 0.075
+	maxPauseShare   = 0.3
 	// wakeupShare is the time for which a held read goes on after a peer has reported more
 	// records, as the store may answer the read at the same time.
 	wakeupShare = 0.1
-	// relayShare bounds a call to a peer that has read further.
-	relayShare = 0.15
+	// relayShare is the time without an answer after which a VM that has called a peer that has
+	// read further also asks the store, and relayRepeatShare that after which it asks another
+	// peer.
+	relayShare       = 0.15
+	relayRepeatShare = 0.2
+	// relayAnswerShare bounds a call to a peer. A large document takes long if many VMs read
+	// it from a peer with a slow link.
+	relayAnswerShare = 1.25
+	// relayPauseShare is the time for which a peer is not asked again after a failed call.
+	relayPauseShare = 0.75
+	// appendShare bounds an append, which is only repeated once it has ended.
+	appendShare = 0.4
+	// graceShare is the time for which a held read is waited for after the store should have
+	// answered it.
+	graceShare = 0.35
 )
 
 // maxHoldTime bounds the time for which the store holds a read open.
 const maxHoldTime = 2500 * time.Millisecond
 
-// maxCheckDoublings bounds the growth of the timeout of checks that fail.
-const maxCheckDoublings = 3
-
 // Role is a VM's part in reading a topic.
 type Role struct {
 	IsReader bool
@@ -70,19 +89,51 @@
 	return s.share(min(doubtShare+float64(r.Rank)*rankShare, backupShare))
 }
 
-// CheckTimeout bounds a call that the store need not hold open, after a number of
-// consecutive failed ones.
-func (s Schedule) CheckTimeout(failures int) time.Duration {
-	return s.share(checkShare) << min(failures, maxCheckDoublings)
+// RepeatAfter returns the time without an answer after which the n-th call in a row, from 0, is
+// made once more.
+func (s Schedule) RepeatAfter(n int) time.Duration {
+	if n == 0 {
+		return s.share(silenceShare)
+	}
+	return s.share(repeatShare)
+}
+
+// AnswerTimeout bounds a call that the store need not hold open.
+func (s Schedule) AnswerTimeout() time.Duration { return s.share(answerShare) }
+
+// FailurePause returns the pause after the n-th consecutive call that failed, from 1.
+func (s Schedule) FailurePause(n int) time.Duration {
+	pause := s.share(firstPauseShare)
+	for ; n > 1 && pause < s.share(maxPauseShare); n-- {
+		pause *= 2
+	}
+	return min(pause, s.share(maxPauseShare))
 }
 
+// AppendTimeout bounds an append.
+func (s Schedule) AppendTimeout() time.Duration { return s.share(appendShare) }
+
+// ReadGrace returns the time for which a held read is waited for after the store should have
+// answered it.
+func (s Schedule) ReadGrace() time.Duration { return s.share(graceShare) }
+
 // WakeupGrace returns the time for which a held read goes on after a peer has reported more
 // records.
 func (s Schedule) WakeupGrace() time.Duration { return s.share(wakeupShare) }
 
-// RelayTimeout bounds a call to a peer that has read further.
+// RelayTimeout returns the time without an answer after which a VM that has called a peer that
+// has read further also asks the store.
 func (s Schedule) RelayTimeout() time.Duration { return s.share(relayShare) }
 
+// RelayRepeatAfter returns the time without an answer after which it asks another peer.
+func (s Schedule) RelayRepeatAfter() time.Duration { return s.share(relayRepeatShare) }
+
+// RelayAnswerTimeout bounds a call to a peer.
+func (s Schedule) RelayAnswerTimeout() time.Duration { return s.share(relayAnswerShare) }
+
+// RelayPause returns the time for which a peer is not asked again after a failed call.
+func (s Schedule) RelayPause() time.Duration { return s.share(relayPauseShare) }
+
 // IsCertain reports whether a copy that was confirmed age ago holds all records that must be
 // in force.
 func (s Schedule) IsCertain(age time.Duration) bool { return age <= s.Bound }
--- a/internal/coordination/freshness/freshness_test.go
+++ b/internal/coordination/freshness/freshness_test.go
@@ -30,7 +30,7 @@
 			"held reads silent, relay fails":        s.DoubtAge(first) + transit + toPeer + relayFails,
 			"held reads silent, first reader stuck": s.DoubtAge(second) + transit + toPeer,
 			"held reads silent, digest lost":        s.DoubtAge(first) + transit + toPeer + digestInterval,
-			"held reads silent, first check fails":  s.DoubtAge(first) + s.CheckTimeout(0) + transit + toPeer,
+			"held reads silent, first check fails":  s.DoubtAge(first) + s.RepeatAfter(0) + transit + toPeer,
 			"digest lost, relay fails":              transit + toPeer + digestInterval + relayFails,
 			"readers say that they read":            s.DoubtAge(other) + transit,
 			"held reads silent, through a hub":      s.DoubtAge(first) + transit + throughHub + digestInterval + relayFails,
@@ -42,6 +42,28 @@
 	}
 }
 
+// TestHopsAfterReturnExceedBound adds up the waits between the return of a store that has
+// answered nobody and the time at which the last VM is up to date.
+func TestHopsAfterReturnExceedBound(t *testing.T) {
+	for _, bound := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 6 * time.Second} {
+		s := Schedule{bound}
+		other := Role{Spread: 1}
+		toPeer := earlyDigestGap + transit + transit
+		for name, sum := range map[string]time.Duration{
+			"a call was made just before":                   s.RepeatAfter(1) + transit,
+			"a call was rejected just before":               s.FailurePause(100) + transit,
+			"a peer's call was made just before":            s.RepeatAfter(1) + transit + toPeer,
+			"a peer's call was made just before, it sticks": s.RepeatAfter(1) + transit + toPeer + s.RelayTimeout() + transit,
+			"two peers stick, the store rejects this VM":    s.RepeatAfter(1) + transit + toPeer + 2*s.RelayRepeatAfter() + transit,
+			"the store was silent for a moment":             s.DoubtAge(other) + transit,
+		} {
+			if sum > bound {
+				t.Errorf("%s: %v, bound %v", name, sum, bound)
+			}
+		}
+	}
+}
+
 // TestReadsEndInStep: after a record that all readers receive together, their reads end one
 // after another, also in the rounds that follow.
 func TestReadsEndInStep(t *testing.T) {
--- a/internal/coordination/gossip/core.go
+++ b/internal/coordination/gossip/core.go
@@ -789,6 +789,38 @@
 	return best.PeerAddress, end
 }
 
+// ReadersBeyond returns the addresses of at most count peers that have read the document topic
+// or, if inDocumentTopic is false, the servers topic further than end. Those that have read
+// furthest come first.
+func (c *Core) ReadersBeyond(inDocumentTopic bool, end storelog.Position, count int, now time.Time) []string {
+	readEnd := func(p *peer) storelog.Position {
+		if inDocumentTopic {
+			return p.documentEnd
+		}
+		return p.serversEnd
+	}
+	var beyond []*peer
+	for _, p := range c.heard {
+		if c.isFresh(p.lastReceivedAt, now) && readEnd(p) > end {
+			beyond = append(beyond, p)
+		}
+	}
+	slices.SortFunc(beyond, func(p, q *peer) int {
+		if order := cmp.Compare(readEnd(q), readEnd(p)); order != 0 || p == q {
+			return order
+		}
+		if c.isPreferred(p, q) {
+			return -1
+		}
+		return 1
+	})
+	var out []string
+	for _, p := range beyond[:min(count, len(beyond))] {
+		out = append(out, p.PeerAddress)
+	}
+	return out
+}
+
 // isPreferred reports whether this VM asks p rather than q for records that both have: VMs of
 // its own zone first, and others than other VMs ask, as all may ask at the same time.
 func (c *Core) isPreferred(p, q *peer) bool {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/catchup"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/freshness"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/gossip"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
@@ -20,19 +21,12 @@
 	// readGrace is the time for which a read is waited for after the store should have
 	// answered it.
 	readGrace = 700 * time.Millisecond
-	// newestTimeout bounds a read of the newest record of every key, or of a page of them.
+	// newestTimeout bounds a read of the newest record of every key.
 	newestTimeout = 2 * time.Second
 	// storeBackoff is the initial pause after a failed call, doubled up to
 	// maxStoreBackoff. The store counts rejected calls too.
 	storeBackoff    = 150 * time.Millisecond
 	maxStoreBackoff = 600 * time.Millisecond
-	// relayTimeoutAll bounds a call to a peer that has read further while the store can't be
-	// read, and the call of a node that has no records yet. A large document takes long if
-	// many nodes read it from a peer with a slow link.
-	relayTimeoutAll = 2500 * time.Millisecond
-	// relayBackoff is the time for which a node reads only the store after a
-	// failed call to a peer.
-	relayBackoff = 1500 * time.Millisecond
 	// restoreTime is the time, from the first listing after the store came back from a
 	// copy, in which the operator and the servers write again what the copy lacks. What
 	// is missing then is gone.
@@ -78,15 +72,15 @@
 	inStep bool
 	// lostAt is the time of the first of the consecutive failed calls.
 	lostAt time.Time
-	// nextRelayAt is the earliest time of the next call to a peer.
-	nextRelayAt time.Time
+	// calls decides about the calls that bring the view up to date.
+	calls *catchup.Machine
 	// listing is a listing of all keys that has not ended yet, nil if there is none.
 	listing *listing
 }
 
 func newFollower(n *Node, topic string, bound func() time.Duration, version func(string, []byte) (topicview.Version, bool), apply func(topicview.Change)) *follower {
 	view := topicview.New(topicview.Config{RestoreTime: restoreTime, Version: version})
-	return &follower{node: n, topic: topic, bound: bound, apply: apply, wakeups: make(chan struct{}, 1), view: view, inStep: true}
+	return &follower{node: n, topic: topic, bound: bound, apply: apply, wakeups: make(chan struct{}, 1), view: view, inStep: true, calls: catchup.NewMachine()}
 }
 
 func (f *follower) schedule() freshness.Schedule { return freshness.Schedule{Bound: f.bound()} }
@@ -105,45 +99,39 @@
 
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		peer, ahead := f.peerAhead()
-		if ahead && !f.node.now().Before(f.nextRelayAt) {
-			if f.readFromPeer(ctx, peer) {
-				continue
-			}
-			f.nextRelayAt = f.node.now().Add(relayBackoff)
-		}
 		role := f.node.members.readerRole()
-		doubtIn := f.doubtAt(role).Sub(f.node.now())
-		if f.synced && !ahead && doubtIn > 0 && f.node.members.mayRelyOnReaders() {
+		isCurrent := f.isCurrent(role)
+		if isCurrent && f.node.members.mayRelyOnReaders() {
 			f.node.storeReads.setReadsStore(f.topic, false)
 			f.inStep = true
 			f.expire()
-			f.waitForWakeup(ctx, min(idleCheckInterval, doubtIn))
+			f.waitForWakeup(ctx, min(idleCheckInterval, f.doubtAt(role).Sub(f.node.now())))
 			continue
 		}
 		if f.end().Era() < f.node.platform.Era() {
 			f.synced = false
 		}
-		var err error
-		begunAt := f.node.now()
-		switch {
-		case !f.synced:
+		if _, ahead := f.peerAhead(); !f.synced && !ahead {
 			if wait := f.listingWait(); wait > 0 {
 				f.waitForWakeup(ctx, wait)
 				continue
 			}
-			err = f.readAll(ctx)
-		case ahead || doubtIn <= 0:
-			err = f.check(ctx, ahead)
-		default:
+		}
+		begunAt := f.node.now()
+		var err error
+		if isCurrent && f.synced {
 			err = f.holdRead(ctx, role)
+		} else {
+			err = f.catchUp(ctx, role)
 		}
 		switch {
 		case err == nil:
-			f.synced = true
-			f.recordSuccess(begunAt)
-			f.expire()
-			sleep(ctx, f.readPause)
+			f.calls.StoreAnswered()
+			if f.synced {
+				f.recordSuccess(begunAt)
+				f.expire()
+				sleep(ctx, f.readPause)
+			}
 		case errors.Is(err, errReadDoubted):
 			f.node.platform.DropIdleConnections()
 		case errors.Is(err, platform.ErrTrimmed):
@@ -152,12 +140,12 @@
 		case errors.Is(err, platform.ErrOtherEra):
 			f.node.log.Event("store", "other-era", "topic", f.topic, "from", f.end(), "error", err)
 			f.synced = false
-			sleep(ctx, storeBackoff)
-		case errors.IsAny(err, errPeerAhead, errListingWaits):
+			sleep(ctx, f.schedule().FailurePause(1))
+		case errors.IsAny(err, errPeerAhead, errRelayed, errNotNeeded):
 		default:
+			f.calls.StoreFailed()
 			f.recordFailure(err, f.node.now().Sub(begunAt))
-			f.expireWithoutStore(ahead)
-			f.waitForWakeup(ctx, min(storeBackoff<<min(f.failures.Load(), 4), maxStoreBackoff))
+			f.waitForWakeup(ctx, f.schedule().FailurePause(f.calls.Failures()))
 		}
 	}
 }
@@ -169,6 +157,12 @@
 	// errReadDoubted is returned by a read that was cancelled because nothing has
 	// confirmed for too long that there are no further records.
 	errReadDoubted = errors.New("nothing confirms that there are no further records")
+	// errRelayed is returned if a peer's records have brought the copy up to date, and
+	// errNotNeeded if nothing has to be asked any more.
+	errRelayed   = errors.New("a peer has passed the records on")
+	errNotNeeded = errors.New("the copy is up to date")
+	// errSilent is recorded for a call that has no answer in time, but may still get one.
+	errSilent = errors.New("no answer in time")
 	// errStoreBehind is returned if the store does not show the records that a peer has
 	// read.
 	errStoreBehind = errors.New("the store shows fewer records than a peer has read")
@@ -187,6 +181,12 @@
 	return c
 }
 
+// isCurrent reports whether the copy is known to be up to date, so that nothing has to be asked.
+func (f *follower) isCurrent(role freshness.Role) bool {
+	_, ahead := f.peerAhead()
+	return f.synced && !ahead && f.doubtAt(role).After(f.node.now())
+}
+
 // doubtAt returns the time at which this node asks the store unless it is confirmed before
 // that there are no further records.
 func (f *follower) doubtAt(role freshness.Role) time.Time {
@@ -239,8 +239,8 @@
 		peer = "none"
 	}
 	f.node.log.Event("store", "call-failed", "topic", f.topic, "failures", int(failures), "after", after, "peer-ahead", peer, "confirmed-ago", f.node.now().Sub(f.confirmation().At), "error", err)
-	f.nextRelayAt = time.Time{}
 	f.node.storeReads.setReadsStore(f.topic, false)
+	f.expireWithoutStore(ahead)
 }
 
 // isFailing reports whether the last call to the store for this topic failed.
@@ -310,29 +310,6 @@
 	})
 }
 
-// readFromPeer reads records from a peer, and reports whether that advanced this
-// node's end offset.
-func (f *follower) readFromPeer(ctx context.Context, address string) bool {
-	from := f.end()
-	timeout := f.schedule().RelayTimeout()
-	if f.isFailing() || from == 0 {
-		timeout = relayTimeoutAll
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	reply, err := relayapi.FetchRecords(ctx, f.node.peerPool.Conn(ctx, address), &relayapi.RecordsRequest{Topic: f.topic, From: from, TakesPacked: true})
-	if err != nil {
-		f.node.log.Failure("store", "relay-failed", "topic", f.topic, "peer", address, "error", err)
-		return false
-	}
-	f.applyReply(reply)
-	f.listing = nil
-	f.expire()
-	f.node.log.Event("store", "relayed", "topic", f.topic, "peer", address, "records", len(reply.Records), "full", reply.Full, "from", from, "end", reply.End)
-	f.synced = f.end().Era() == reply.End.Era()
-	return reply.End > from
-}
-
 // applyReply applies the records that a peer has returned.
 func (f *follower) applyReply(reply *relayapi.RecordsReply) {
 	f.update(func(v *topicview.View) []topicview.Change {
@@ -352,35 +329,13 @@
 	return &relayapi.RecordsReply{Records: records, End: f.view.End(), Full: full}
 }
 
-// check asks the store for new records, without waiting for any. isBehind is true if a peer
-// has reported more records.
-func (f *follower) check(ctx context.Context, isBehind bool) error {
-	startedAt, from := f.node.now(), f.end()
-	ctx, cancel := context.WithTimeout(ctx, f.schedule().CheckTimeout(int(f.failures.Load())))
-	defer cancel()
-	batch, err := f.node.platform.Read(ctx, f.topic, from, 0)
-	if err != nil {
-		return err
-	}
-	f.applyBatch(&batch)
-	if isBehind && batch.End() == from {
-		return errStoreBehind
-	}
-	f.inStep = true
-	if batch.IsLast {
-		f.confirm(startedAt)
-		f.node.members.sendEarly()
-	}
-	return nil
-}
-
 // holdRead waits for new records at the store. It is cancelled if a peer reports more
 // records in the meantime, and if nothing confirms for too long that there are none.
 func (f *follower) holdRead(ctx context.Context, role freshness.Role) error {
 	wait := f.schedule().HoldTime(role, f.inStep)
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
-	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.schedule().ReadGrace())
 	defer cancel()
 	go f.watchRead(ctx, cancelCause, role)
 	startedAt := f.node.now()
--- a/internal/gateway/follower_listing.go
+++ b/internal/gateway/follower_listing.go
@@ -49,13 +49,9 @@
 // listingPoll is the interval at which a node checks whether it knows the other VMs.
 const listingPoll = 10 * time.Millisecond
 
-// errListingWaits is returned by a listing that waits for a peer's records.
-var errListingWaits = errors.New("peers list the topic first")
-
-// readAll reads the newest record of each key, at the start and after a gap. If a page can't
-// be read, the next call continues with it. The listing is interrupted if a peer has all
-// records.
-func (f *follower) readAll(ctx context.Context) error {
+// listingFetch returns the function that makes the next call of a listing of all keys, at the
+// start and after a gap. If a call fails, the next one takes its place.
+func (f *follower) listingFetch() fetch {
 	now := f.node.now()
 	if l := f.listing; l != nil && now.Sub(l.startedAt) > maxListingAge {
 		f.node.log.Event("store", "listing-dropped", "topic", f.topic, "items", len(l.Items()), "after", now.Sub(l.startedAt))
@@ -65,68 +61,53 @@
 		f.listing = &listing{Listing: f.node.platform.NewListing(f.topic), startedAt: now}
 	}
 	l := f.listing
-	for !l.IsComplete() {
-		if err := f.readPage(ctx, l); err != nil {
-			return err
-		}
-		if _, ahead := f.peerAhead(); ahead && !l.IsComplete() && !f.node.now().Before(f.nextRelayAt) {
-			return errPeerAhead
-		}
-		if !l.IsComplete() && f.listingWait() > 0 {
-			return errListingWaits
+	if l.IsComplete() {
+		end, _ := l.End()
+		from := listedEnd(l.Items(), end)
+		return func(ctx context.Context) (func() error, error) {
+			from, rest, err := f.readRest(ctx, from, end)
+			return func() error { f.finishListing(l, from, &rest); return nil }, err
 		}
 	}
-	return f.finishListing(ctx, l)
+	readPage := l.NextPage()
+	return func(ctx context.Context) (func() error, error) {
+		page, err := readPage(ctx)
+		return func() error { return f.addPage(l, page) }, err
+	}
 }
 
-// readPage reads the next page of a listing.
-func (f *follower) readPage(ctx context.Context, l *listing) error {
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	_, err := l.Next(ctx)
-	if errors.IsAny(err, platform.ErrReplyTooLong, platform.ErrOtherEra) {
-		f.listing = nil
-	}
-	if err != nil {
+// addPage adds a page to a listing, which is put in force if nothing else is to be read.
+func (f *follower) addPage(l *listing, page *platform.Page) error {
+	if err := l.Add(page); err != nil {
 		return err
 	}
-	if f.node.now().Sub(l.startedAt) >= partialListingAge && !l.IsComplete() {
-		f.update(func(v *topicview.View) []topicview.Change { return v.ApplyPage(topicRecords(l.Items()[l.applied:])) })
-		l.applied = len(l.Items())
+	end, _ := l.End()
+	if !l.IsComplete() {
+		if f.node.now().Sub(l.startedAt) >= partialListingAge {
+			f.update(func(v *topicview.View) []topicview.Change { return v.ApplyPage(topicRecords(l.Items()[l.applied:])) })
+			l.applied = len(l.Items())
+		}
+	} else if from := listedEnd(l.Items(), end); from >= end {
+		f.finishListing(l, from, &platform.Batch{})
 	}
 	return nil
 }
 
 // finishListing puts a complete listing in force. The partition's end may count records that
 // the items lack: deletions, which are not listed, and records that the store did not show
-// yet. They are read from the log.
-func (f *follower) finishListing(ctx context.Context, l *listing) error {
-	end, _ := l.End()
-	from := listedEnd(l.Items(), end)
-	var rest platform.Batch
-	if from < end {
-		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-		defer cancel()
-		var err error
-		if from, rest, err = f.readRest(ctx, from, end); err != nil {
-			if errors.Is(err, platform.ErrOtherEra) {
-				f.listing = nil
-			}
-			return err
-		}
-	}
+// yet. They were read from the log, from a position on.
+func (f *follower) finishListing(l *listing, from storelog.Position, rest *platform.Batch) {
 	f.listing = nil
 	f.update(func(v *topicview.View) []topicview.Change {
 		return v.ApplyListing(topicRecords(l.Items()), from, f.node.now())
 	})
 	if len(rest.Records) > 0 {
-		f.applyBatch(&rest)
+		f.applyBatch(rest)
 	}
-	if f.end() >= end {
+	if end, _ := l.End(); f.end() >= end {
 		f.confirm(l.startedAt)
 	}
-	f.inStep = true
-	return nil
+	f.inStep, f.synced = true, true
 }
 
 // readRest reads the log from a position before a listing's end on. It returns the position
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,19 +59,22 @@
 	return l.text.Write(p)
 }
 
-func (l *logBuffer) hasLine(parts ...string) bool {
+func (l *logBuffer) hasLine(parts ...string) bool { return l.countLines(parts...) > 0 }
+
+func (l *logBuffer) countLines(parts ...string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	count := 0
 	for line := range strings.Lines(l.text.String()) {
 		found := true
 		for _, p := range parts {
 			found = found && strings.Contains(line, p)
 		}
 		if found {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // lastLines returns the last lines of the log.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -568,6 +568,14 @@
 	return m.core.FurthestReader(topic == platform.OperatorTopic, m.node.now())
 }
 
+// readersBeyond returns the addresses of at most count peers that have read a topic further than
+// end, the preferred one first.
+func (m *members) readersBeyond(topic string, end storelog.Position, count int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.ReadersBeyond(topic == platform.OperatorTopic, end, count, m.node.now())
+}
+
 // callerAddresses returns the addresses for callers in an availability zone:
 // those of the zone's VMs, or of all VMs if the zone has too few.
 func (m *members) callerAddresses(zone string) []string {
