Gateway: let no call without an answer hold reads of other topics

The same cause on related paths: registrations, quarantined contents, the status of moves and the log of duties were read by one call at a time, waited for up to 2 s (1.2 s for the log) with pauses of up to 1 s, whatever the bound. A read that began just before the store's return held the VM for all of it. A held read of contents was waited for up to 10.7 s, also after the digests that bring the same news had ceased.

These reads are now repeated beside the first one, as those of the two keyed topics are. Pauses and the waits for appends follow from the bound, for the log of duties from the lease. A held read of contents is left within a second once digests are missing.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/freshness"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/singleton"
 	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/platform"
@@ -18,8 +19,7 @@
 	dutyTopic = "coltsfoot.duties"
 	// dutyInterval is the interval between two steps of the duties loop.
 	dutyInterval = 200 * time.Millisecond
-	// dutyCallTimeout bounds one call. After an append without an answer, the log is
-	// read to find out whether the record was written.
+	// dutyCallTimeout bounds one call of a duty itself.
 	dutyCallTimeout = 1200 * time.Millisecond
 	// holderTimeout is the time after which peers read the log if they receive no
 	// report from the lease holder. It spans several digest intervals.
@@ -68,6 +68,12 @@
 	}
 }
 
+// schedule returns the times of calls for the log. After an append without an answer, the log is
+// read to find out whether the record was written.
+func (d *duties) schedule() freshness.Schedule {
+	return freshness.Schedule{Bound: d.node.settings.Lease}
+}
+
 // windowOf returns the number of the usage window that contains now.
 func (d *duties) windowOf(now time.Time) int64 {
 	return d.node.clock.unixMillis(now) / d.node.settings.UsageWindow.Milliseconds()
@@ -169,14 +175,17 @@
 	d.mu.Lock()
 	from := d.machine.State().End
 	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
-	defer cancel()
-	batch, err := d.node.platform.Read(ctx, dutyTopic, from, 0)
+	read := func(from storelog.Position) (platform.Batch, error) {
+		return askStore(ctx, d.node, d.schedule(), func(ctx context.Context) (platform.Batch, error) {
+			return d.node.platform.Read(ctx, dutyTopic, from, 0)
+		})
+	}
+	batch, err := read(from)
 	if d.followLog(err) {
 		d.mu.Lock()
 		from = d.machine.State().End
 		d.mu.Unlock()
-		batch, err = d.node.platform.Read(ctx, dutyTopic, from, 0)
+		batch, err = read(from)
 	}
 	if err != nil {
 		return nil, err
@@ -241,7 +250,7 @@
 		return false
 	}
 	startedAt := d.node.now()
-	callCtx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, d.schedule().AppendTimeout())
 	_, err = d.node.platform.AppendAt(callCtx, dutyTopic, data, at)
 	cancel()
 	if err == nil {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -18,15 +18,6 @@
 )
 
 const (
-	// readGrace is the time for which a read is waited for after the store should have
-	// answered it.
-	readGrace = 700 * time.Millisecond
-	// newestTimeout bounds a read of the newest record of every key.
-	newestTimeout = 2 * time.Second
-	// storeBackoff is the initial pause after a failed call, doubled up to
-	// maxStoreBackoff. The store counts rejected calls too.
-	storeBackoff    = 150 * time.Millisecond
-	maxStoreBackoff = 600 * time.Millisecond
 	// restoreTime is the time, from the first listing after the store came back from a
 	// copy, in which the operator and the servers write again what the copy lacks. What
 	// is missing then is gone.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -32,7 +32,8 @@
 	digestUsageWindows = 3
 	// vmsTopic holds the identity of every VM that ever started, keyed by its name.
 	vmsTopic = "keyed.coltsfoot.vms"
-	// registerInterval is the pause between attempts to register.
+	// registerInterval is the interval at which a registered VM checks whether the store has
+	// come back from a copy, which may lack the registration.
 	registerInterval = time.Second
 	// membersTimeout bounds the time for which a node that can't read the list of
 	// VMs waits for their digests. It serves requests after that.
@@ -196,6 +197,7 @@
 		return
 	}
 	r := &registrar{members: m, own: own}
+	failures := 0
 	for ctx.Err() == nil {
 		r.registered = r.registered && r.registeredAt.Era() >= n.storeEra()
 		if r.registered && r.listed {
@@ -203,9 +205,12 @@
 			continue
 		}
 		if err := r.step(ctx); err != nil {
-			n.log.Failure("members", "not-registered", "error", err)
-			sleep(ctx, registerInterval)
+			failures++
+			n.log.Failure("members", "not-registered", "failures", failures, "error", err)
+			sleep(ctx, n.storeSchedule().FailurePause(failures))
+			continue
 		}
+		failures = 0
 	}
 }
 
@@ -223,16 +228,16 @@
 // step makes the next call.
 func (r *registrar) step(ctx context.Context) error {
 	n := r.members.node
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
 	if !r.registered && (r.listed || r.members.vmsKnown.Load()) {
+		ctx, cancel := context.WithTimeout(ctx, n.storeSchedule().AppendTimeout())
+		defer cancel()
 		at, err := n.platform.Append(ctx, vmsTopic, platform.EncodeKeyed(n.settings.VM, r.own))
 		if err == nil {
 			r.registered, r.registeredAt = true, at
 		}
 		return err
 	}
-	items, _, err := n.platform.ListNewest(ctx, vmsTopic)
+	items, _, err := n.listNewest(ctx, vmsTopic)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -338,9 +338,7 @@
 // move, because all nodes may have restarted since. It returns false if the store
 // can't be read.
 func (v *versionMoves) restoreStatus(ctx context.Context, m movephase.Move) bool {
-	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
-	defer cancel()
-	items, end, err := v.node.platform.ListNewest(ctx, platform.StatusTopic)
+	items, end, err := v.node.listNewest(ctx, platform.StatusTopic)
 	if err != nil {
 		v.node.log.Failure("moves", "status-unread", "service", m.Service, "error", err)
 		return false
@@ -387,7 +385,7 @@
 		v.node.log.Failure("moves", "not-encoded", "error", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, v.node.duties.schedule().AppendTimeout())
 	defer cancel()
 	at, err := v.node.platform.Append(ctx, platform.StatusTopic, platform.EncodeKeyed(key, value))
 	if err != nil {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -301,38 +302,29 @@
 			sleep(ctx, idleCheckInterval)
 			continue
 		}
-		wait := contentsReadWait
-		if !complete {
-			wait = partialReadWait
-		}
-		err := z.readNews(ctx, wait)
+		err := z.readNews(ctx, complete)
 		switch {
 		case err == nil:
 			failures = 0
 		case errors.IsAny(err, platform.ErrTrimmed, platform.ErrOtherEra):
 			z.setListed(false)
-			sleep(ctx, storeBackoff)
+			sleep(ctx, z.node.storeSchedule().FailurePause(1))
 		default:
 			if failures++; failures == 1 {
 				z.node.log.Failure("store", "lost", "topic", digest.ContentsTopic, "error", err)
 			}
-			sleep(ctx, min(storeBackoff<<min(failures, 4), maxStoreBackoff))
+			sleep(ctx, z.node.storeSchedule().FailurePause(failures))
 		}
 	}
 }
 
 // readNews lists all keys if that has not succeeded yet, and otherwise waits for new
-// records.
-func (z *quarantiner) readNews(ctx context.Context, wait time.Duration) error {
+// records. complete is true if this node receives the digests of all VMs.
+func (z *quarantiner) readNews(ctx context.Context, complete bool) error {
 	if z.isListed() {
-		ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
-		defer cancel()
-		_, err := z.read(ctx, wait)
-		return err
+		return z.holdRead(ctx, complete)
 	}
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	items, end, err := z.node.platform.ListNewest(ctx, digest.ContentsTopic)
+	items, end, err := z.node.listNewest(ctx, digest.ContentsTopic)
 	if err != nil {
 		return err
 	}
@@ -346,6 +338,45 @@
 	return nil
 }
 
+// holdRead waits for new records at the store. A long read, which may be silent, is left once
+// news may not come by digests any more.
+func (z *quarantiner) holdRead(ctx context.Context, complete bool) error {
+	s := z.node.storeSchedule()
+	wait := contentsReadWait
+	if !complete {
+		wait = min(partialReadWait, s.Bound/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+s.ReadGrace())
+	defer cancel()
+	var isLeft atomic.Bool
+	if complete {
+		watch := time.NewTicker(idleCheckInterval)
+		defer watch.Stop()
+		go func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-watch.C:
+				}
+				if !z.node.members.isComplete() {
+					isLeft.Store(true)
+					cancel()
+					return
+				}
+			}
+		}()
+	}
+	_, err := z.read(ctx, wait)
+	if err != nil && isLeft.Load() {
+		z.node.log.Event("store", "read-left", "topic", digest.ContentsTopic, "cause", "digests of some VMs are missing")
+		z.node.metrics.readsLeft.WithLabelValues(digest.ContentsTopic, "digests-missing").Inc()
+		z.node.platform.DropIdleConnections()
+		return nil
+	}
+	return err
+}
+
 // read reads the records after the last one read, and returns the offset after them.
 func (z *quarantiner) read(ctx context.Context, wait time.Duration) (end storelog.Position, err error) {
 	z.mu.Lock()
@@ -422,7 +453,7 @@
 		if failures++; failures == 1 {
 			z.node.log.Failure("content", "not-stored", "error", err)
 		}
-		sleep(ctx, min(storeBackoff<<min(failures, 4), maxStoreBackoff))
+		sleep(ctx, z.node.storeSchedule().FailurePause(failures))
 	}
 }
 
@@ -438,7 +469,7 @@
 	for i := range entries {
 		records[i] = encodeContent(&entries[i])
 	}
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, z.node.storeSchedule().AppendTimeout())
 	defer cancel()
 	offset, err := z.node.platform.AppendAll(ctx, digest.ContentsTopic, records)
 	if err != nil {
@@ -460,9 +491,7 @@
 	if _, _, holdsLease := z.node.duties.leaseState(now); !holdsLease {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	items, _, err := z.node.platform.ListNewest(ctx, digest.ContentsTopic)
+	items, _, err := z.node.listNewest(ctx, digest.ContentsTopic)
 	var records [][]byte
 	for _, it := range items {
 		e, decodeErr := digest.UnmarshalContent(it.Value)
@@ -471,6 +500,8 @@
 		}
 	}
 	if err == nil && len(records) > 0 {
+		ctx, cancel := context.WithTimeout(ctx, z.node.storeSchedule().AppendTimeout())
+		defer cancel()
 		_, err = z.node.platform.AppendAll(ctx, digest.ContentsTopic, records[:min(len(records), maxContentsPerWrite)])
 	}
 	if err != nil {
--- a/internal/gateway/silent_store_test.go
+++ b/internal/gateway/silent_store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"coltsfootpath.example/coltsfootpath/internal/protocol/digest"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -83,3 +84,78 @@
 		}
 	}
 }
+
+// TestOtherTopicsWaitForCallBegunBeforeStoreReturned: the store gives no answers while a VM
+// starts. After its return the VM registers itself, and lists the quarantined contents, before
+// it gives up a call that it made before.
+func TestOtherTopicsWaitForCallBegunBeforeStoreReturned(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.addServer("s-1", nil)
+	f.store.StopAnswering()
+	n, err := Start(f.settings("vm-1"), f.logs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	f.eventually("the VM lists both topics", func() bool {
+		return f.store.Unanswered(vmsTopic) > 0 && f.store.Unanswered(digest.ContentsTopic) > 0
+	})
+	f.store.AnswerAgain()
+	f.eventually("both topics are listed", func() bool { return n.members.vmsListed.Load() && n.quarantiner.isListed() })
+	if f.logs.hasLine("members not-registered") || f.logs.hasLine("store lost", "topic="+digest.ContentsTopic) {
+		t.Error("a call that the store never answers was given up")
+	}
+}
+
+// TestLeaseWaitsForReadBegunBeforeStoreReturned: the lease holder's renewal gets no answer, nor
+// does its read of the log after that. Once the store is back, the holder has read the log, and
+// renewed its lease, before it gives up that read.
+func TestLeaseWaitsForReadBegunBeforeStoreReturned(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.addServer("s-1", nil)
+	n := f.startNode("vm-1", 1)
+	holds := func() bool { _, _, holds := n.duties.leaseState(n.now()); return holds }
+	f.eventually("the VM holds the lease", holds)
+	f.store.StopAnswering()
+	f.eventually("the log is read after a renewal without an answer", func() bool { return f.store.Unanswered(dutyTopic) >= 2 })
+	f.store.AnswerAgain()
+	appends := f.store.Appends(dutyTopic)
+	f.eventually("the lease is renewed", func() bool { return f.store.Appends(dutyTopic) > appends && holds() })
+	if f.logs.hasLine("duties not-read") {
+		t.Error("a read that the store never answers was given up")
+	}
+}
+
+// TestSilentReadOfContentsOutlastsDigests: the VM's held read of the quarantined contents has
+// fallen silent, and the digests that bring the same news cease. The VM reads what follows in
+// the store before the silent read has timed out.
+func TestSilentReadOfContentsOutlastsDigests(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.addServer("s-1", nil)
+	n, other := f.startNode("vm-1", 1), f.startNode("vm-2", 1)
+	read := func(n *Node, records uint64) bool {
+		n.quarantiner.mu.Lock()
+		defer n.quarantiner.mu.Unlock()
+		return n.quarantiner.end.Offset() >= records
+	}
+	for _, x := range []*Node{n, other} {
+		f.eventually("the VM knows the other one", func() bool {
+			return x.members.count() == 2 && x.quarantiner.isListed() && x.members.isComplete()
+		})
+	}
+	// The next reads are long ones.
+	f.store.AppendRecord(digest.ContentsTopic, platform.EncodeKeyed("unreadable-1", []byte("1")))
+	for _, x := range []*Node{n, other} {
+		f.eventually("the first record is read", func() bool { return read(x, 1) })
+	}
+	f.store.SilenceConnections()
+	other.members.close()
+	f.store.AppendRecord(digest.ContentsTopic, platform.EncodeKeyed("unreadable-2", []byte("2")))
+	f.eventually("the second record is read", func() bool { return read(n, 2) })
+	if f.logs.hasLine("store lost", "topic="+digest.ContentsTopic) {
+		t.Error("the silent read has timed out")
+	}
+}
--- a/internal/gateway/store_calls.go
+++ b/internal/gateway/store_calls.go
@@ -5,8 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"coltsfootpath.example/coltsfootpath/internal/coordination/catchup"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/freshness"
+	"coltsfootpath.example/coltsfootpath/internal/state/storelog"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
@@ -137,3 +140,54 @@
 	r.machine.Failed(r.schedule, end.call.ID, r.node.now())
 	return false, r.failed(end)
 }
+
+// askStore makes a call that may be repeated, and makes it again beside the first one while
+// that has no answer. It returns the first result or, once no call is open, the last error.
+func askStore[T any](ctx context.Context, n *Node, s freshness.Schedule, call func(ctx context.Context) (T, error)) (T, error) {
+	var out T
+	machine := catchup.NewMachine()
+	r := round{
+		node:     n,
+		machine:  machine,
+		schedule: s,
+		input:    func() (catchup.Input, bool) { return catchup.Input{MayAskStore: true}, true },
+		fetch: func(catchup.Call) fetch {
+			return func(ctx context.Context) (func() error, error) {
+				result, err := call(ctx)
+				return func() error { out = result; return nil }, err
+			}
+		},
+		failed: func(end *callEnd) error {
+			if machine.Open() > 0 {
+				return nil
+			}
+			return end.err
+		},
+	}
+	if _, err := r.run(ctx); err != nil {
+		return out, errors.WithStack(err)
+	}
+	return out, nil
+}
+
+// storeSchedule returns the times of calls that belong to neither of the two followed topics.
+func (n *Node) storeSchedule() freshness.Schedule {
+	return freshness.Schedule{Bound: n.liveSettings.Load().operatorBound()}
+}
+
+// listNewest returns the newest record of each key of a topic, and the topic's end as of the
+// first page.
+func (n *Node) listNewest(ctx context.Context, topic string) ([]platform.Item, storelog.Position, error) {
+	l := n.platform.NewListing(topic)
+	for !l.IsComplete() {
+		page, err := askStore(ctx, n, n.storeSchedule(), l.NextPage())
+		if err != nil {
+			return nil, 0, err
+		}
+		if err := l.Add(page); err != nil {
+			return nil, 0, err
+		}
+	}
+	end, _ := l.End()
+	return l.Items(), end, nil
+}
