Gateway: bound repeated reads of the store in time

While a store is silent, a repeated read ended only with its context. At SIGTERM the release of the lease reads the log after an append without an answer, so it waited for the store as long as the process may run. A read that is repeated now ends with the first call's timeout, one of the log of duties with that of an append, as before the change.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -175,6 +175,8 @@
 	d.mu.Lock()
 	from := d.machine.State().End
 	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, d.schedule().AppendTimeout())
+	defer cancel()
 	read := func(from storelog.Position) (platform.Batch, error) {
 		return askStore(ctx, d.node, d.schedule(), func(ctx context.Context) (platform.Batch, error) {
 			return d.node.platform.Read(ctx, dutyTopic, from, 0)
--- a/internal/gateway/store_calls.go
+++ b/internal/gateway/store_calls.go
@@ -145,6 +145,8 @@
 // that has no answer. It returns the first result or, once no call is open, the last error.
 func askStore[T any](ctx context.Context, n *Node, s freshness.Schedule, call func(ctx context.Context) (T, error)) (T, error) {
 	var out T
+	ctx, cancel := context.WithTimeout(ctx, s.AnswerTimeout())
+	defer cancel()
 	machine := catchup.NewMachine()
 	r := round{
 		node:     n,
