Duties: renew the lease between usage reports without an answer

A step of the duties loop sent the reports of up to four windows, each waited for up to 1.2 s. While the platform's API was silent the lease (3 s) could end meanwhile, and no move was decided for 4.8 s, also after the store had returned. A step now ends its reports once they have taken longer than the interval of the loop; the next one goes on with them.

TestSilentReportsOutlastLease failed before (two reports in a row without a record in the log between them).

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -306,6 +306,10 @@
 	wallMillis := n.clock.unixMillis(now)
 	last := d.lastReportable(now)
 	for w := last - reportWindows; w <= last; w++ {
+		if n.now().Sub(now) > dutyInterval {
+			// The lease may have to be renewed, and a move to be decided, before the next call.
+			return
+		}
 		if d.reported[w] || now.Sub(d.attemptedAt[w]) < reportRetryInterval {
 			continue
 		}
