Faultlab: scenario of outages of the store

The scenarios made connections silent or rejected calls for a moment; none let the store answer nobody for seconds and put a document right after its return.

--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -113,3 +113,10 @@
 	// 104: brittle servers were filled until they failed, one after the other.
 	runSeed(t, Options{Seed: 104, Processes: 4, Scenario: ScenarioBrittle, Binary: buildGateway(t), RoundDuration: 12 * time.Second})
 }
+
+// TestStoreReturns runs a short round of ScenarioOutages.
+func TestStoreReturns(t *testing.T) {
+	t.Parallel()
+	// 3: a call that was made just before the store's return held back what followed it.
+	runSeed(t, Options{Seed: 3, Processes: 4, Scenario: ScenarioOutages, Binary: buildGateway(t), RoundDuration: 20 * time.Second})
+}
