Gateway: don't ask the store beside each relay after a failure

A VM that reads its records from peers kept the mark of its last failed call, and asked the store at once beside each relay, as the peer's answer came first and the mark was never cleared. Peers are now always asked first. A VM that waits for the readers' listing also wakes up when it may list the store itself, rather than within a second of it.

TestRelayedRecordsCostCallOfStore failed before (60 calls in a minute).

--- a/internal/coordination/catchup/catchup.go
+++ b/internal/coordination/catchup/catchup.go
@@ -27,8 +27,8 @@
 type Input struct {
 	// Peers holds the addresses of the peers that have read further, the preferred one first.
 	Peers []string
-	// MayAskStore is true unless the VM waits for others to read the store first.
-	MayAskStore bool
+	// StoreAt is the time before which the store is not asked, as others are to read it first.
+	StoreAt time.Time
 	// HasNoCopy is true if the VM has just started. As many VMs may start together, it then
 	// makes one call at a time, to a peer if there is one.
 	HasNoCopy bool
@@ -72,12 +72,11 @@
 // NewMachine returns a machine without open calls.
 func NewMachine() *Machine { return &Machine{relayAt: map[string]time.Time{}} }
 
-// Begin begins a round of calls. If the store has answered the last call and there are peers
-// to ask, they are asked first.
+// Begin begins a round of calls. If there are peers to ask, they are asked first.
 func (m *Machine) Begin(s freshness.Schedule, in Input, now time.Time) {
 	m.store, m.relays, m.silent = nil, nil, 0
-	if m.failures == 0 && len(m.askable(in.Peers, now)) > 0 {
-		m.storeAt = now.Add(s.RelayTimeout())
+	if at := now.Add(s.RelayTimeout()); at.After(m.storeAt) && len(m.askable(in.Peers, now)) > 0 {
+		m.storeAt = at
 	}
 	for peer, at := range m.relayAt {
 		if !now.Before(at) {
@@ -90,7 +89,11 @@
 func (m *Machine) Step(s freshness.Schedule, in Input, now time.Time) Step {
 	var out Step
 	m.stepRelays(s, in, now, &out)
-	if in.MayAskStore && !(in.HasNoCopy && len(m.relays) > 0) {
+	switch {
+	case in.HasNoCopy && len(m.relays) > 0:
+	case now.Before(in.StoreAt):
+		out.wakeAt(in.StoreAt)
+	default:
 		m.stepStore(s, now, &out)
 	}
 	return out
--- a/internal/coordination/catchup/catchup_test.go
+++ b/internal/coordination/catchup/catchup_test.go
@@ -10,7 +10,8 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/freshness"
 )
 
-// answerTime is the time that the store and a peer take to answer, unless they are slow.
+// answerTime is the time that the store takes to answer, unless it is slow. A peer takes half
+// of it.
 const answerTime = 5 * time.Millisecond
 
 // outage is a time in which the store has a fault.
@@ -58,10 +59,10 @@
 	out := simulatedCall{Call: c, startedAt: now, endsAt: now + c.Timeout}
 	answerAt, succeeds := now+answerTime, true
 	if c.Peer != "" {
-		succeeds = s.peers(now)[c.Peer]
-		if !succeeds {
+		if !s.peers(now)[c.Peer] {
 			return out
 		}
+		answerAt = now + answerTime/2
 	}
 	for _, o := range s.outages {
 		switch {
@@ -89,7 +90,7 @@
 			peers = append(peers, peer)
 		}
 		slices.Sort(peers)
-		return Input{Peers: peers, MayAskStore: true}
+		return Input{Peers: peers}
 	}
 	s.calls = nil
 	s.machine.Begin(s.schedule, input(), epoch.Add(now))
@@ -224,7 +225,7 @@
 func TestArrivingAnswerIsAskedForAgain(t *testing.T) {
 	s := freshness.Schedule{Bound: 2 * time.Second}
 	m := NewMachine()
-	in := Input{MayAskStore: true}
+	in := Input{}
 	m.Begin(s, in, epoch)
 	first := m.Step(s, in, epoch)
 	if len(first.Start) != 1 {
@@ -248,7 +249,7 @@
 func TestStartingVMsCallAllPeers(t *testing.T) {
 	s := freshness.Schedule{Bound: 2 * time.Second}
 	m := NewMachine()
-	in := Input{Peers: []string{"peer-0", "peer-1"}, MayAskStore: true, HasNoCopy: true}
+	in := Input{Peers: []string{"peer-0", "peer-1"}, HasNoCopy: true}
 	m.Begin(s, in, epoch)
 	first := m.Step(s, in, epoch)
 	if len(first.Start) != 1 || first.Start[0].Peer != "peer-0" {
@@ -263,3 +264,19 @@
 		t.Errorf("calls %v after the first one", step.Start)
 	}
 }
+
+// TestRelayedRecordsCostCallOfStore: also after a failed call, the store is not asked for
+// records that a peer passes on in time.
+func TestRelayedRecordsCostCallOfStore(t *testing.T) {
+	s := &simulation{schedule: freshness.Schedule{Bound: 2 * time.Second}, machine: NewMachine()}
+	s.peers = func(time.Duration) map[string]bool { return map[string]bool{"peer-0": true} }
+	s.machine.StoreFailed()
+	for now := time.Duration(0); now < time.Minute; now += time.Second {
+		if _, ok := s.catchUp(now, now+time.Second); !ok {
+			t.Fatalf("not relayed at %v", now)
+		}
+	}
+	if len(s.made) > 0 {
+		t.Errorf("%d calls to the store", len(s.made))
+	}
+}
--- a/internal/gateway/follower_catchup.go
+++ b/internal/gateway/follower_catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,9 +23,13 @@
 		machine:  f.calls,
 		schedule: f.schedule(),
 		input: func() (catchup.Input, bool) {
-			peers := f.node.members.readersBeyond(f.topic, f.end(), maxRelayPeers)
-			in := catchup.Input{Peers: peers, MayAskStore: f.synced || f.listingWait() <= 0, HasNoCopy: f.end() == 0}
-			return in, !f.isCurrent(role) && (in.MayAskStore || len(peers) > 0)
+			in := catchup.Input{Peers: f.node.members.readersBeyond(f.topic, f.end(), maxRelayPeers), HasNoCopy: f.end() == 0}
+			wait := time.Duration(0)
+			if !f.synced {
+				wait = max(f.listingWait(), 0)
+			}
+			in.StoreAt = f.node.now().Add(wait)
+			return in, !f.isCurrent(role) && (wait == 0 || len(in.Peers) > 0)
 		},
 		fetch: func(c catchup.Call) fetch {
 			switch {
--- a/internal/gateway/store_calls.go
+++ b/internal/gateway/store_calls.go
@@ -152,7 +152,7 @@
 		node:     n,
 		machine:  machine,
 		schedule: s,
-		input:    func() (catchup.Input, bool) { return catchup.Input{MayAskStore: true}, true },
+		input:    func() (catchup.Input, bool) { return catchup.Input{}, true },
 		fetch: func(catchup.Call) fetch {
 			return func(ctx context.Context) (func() error, error) {
 				result, err := call(ctx)
