--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -338,6 +338,8 @@
 // move, because all nodes may have restarted since. It returns false if the store
 // can't be read.
 func (v *versionMoves) restoreStatus(ctx context.Context, m movephase.Move) bool {
+	ctx, cancel := context.WithTimeout(ctx, v.node.duties.schedule().AppendTimeout())
+	defer cancel()
 	items, end, err := v.node.listNewest(ctx, platform.StatusTopic)
 	if err != nil {
 		v.node.log.Failure("moves", "status-unread", "service", m.Service, "error", err)
