Gateway: count the copy as certain once readers have confirmed it

A VM that relies on others to read the store counted its copies as outdated from its first failed call until its next own one, which may never come: the readers confirm the copy, so the VM has nothing to ask. While such a VM held the lease, it counted servers for orders as during an outage. The readers' confirmation now ends the failure.

TestRecoveredVMCountsAsFailing failed before (8 VMs; after 20 s some still counted as failing).

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -93,6 +93,7 @@
 		role := f.node.members.readerRole()
 		isCurrent := f.isCurrent(role)
 		if isCurrent && f.node.members.mayRelyOnReaders() {
+			f.recordConfirmed()
 			f.node.storeReads.setReadsStore(f.topic, false)
 			f.inStep = true
 			f.expire()
@@ -218,6 +219,13 @@
 	f.node.storeReads.setReadsStore(f.topic, true)
 }
 
+// recordConfirmed records that others, on which this node relies, have confirmed the copy.
+func (f *follower) recordConfirmed() {
+	if failures := f.failures.Swap(0); failures > 0 {
+		f.node.log.Event("store", "confirmed-by-peer", "topic", f.topic, "failures", int(failures), "lost-for", f.node.now().Sub(f.lostAt), "peer", f.confirmation().VM, "end", f.end())
+	}
+}
+
 // recordFailure records a call to the store that failed after some time.
 func (f *follower) recordFailure(err error, after time.Duration) {
 	failures := f.failures.Add(1)
@@ -234,7 +242,8 @@
 	f.expireWithoutStore(ahead)
 }
 
-// isFailing reports whether the last call to the store for this topic failed.
+// isFailing reports whether the last call to the store for this topic failed, and no VM on which
+// this node relies has confirmed the copy since.
 func (f *follower) isFailing() bool { return f.failures.Load() > 0 }
 
 // peerAhead returns the peer that has read furthest, and reports whether it has
--- a/internal/gateway/silent_store_test.go
+++ b/internal/gateway/silent_store_test.go
@@ -159,3 +159,37 @@
 		t.Error("the silent read has timed out")
 	}
 }
+
+// TestRecoveredVMCountsAsFailing: the store gives no answers for a while. After its return no VM
+// goes on taking its copies for outdated, nor one that relies on others to read the store.
+func TestRecoveredVMCountsAsFailing(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.addServer("s-1", nil)
+	var nodes []*Node
+	for i := range 8 {
+		nodes = append(nodes, f.startNode(fmt.Sprint("vm-", i), 1))
+	}
+	followers := func(holds func(x *follower) bool) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if !holds(n.operatorFollower) || !holds(n.serverFollower) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	f.eventually("some VM relies on others", func() bool {
+		for _, n := range nodes {
+			if n.members.mayRelyOnReaders() {
+				return true
+			}
+		}
+		return false
+	})
+	f.store.StopAnswering()
+	f.eventually("all VMs have failed calls", followers(func(x *follower) bool { return x.isFailing() }))
+	f.store.AnswerAgain()
+	f.eventually("no VM has", followers(func(x *follower) bool { return !x.isFailing() }))
+}
