--- a/internal/coordination/catchup/catchup.go
+++ b/internal/coordination/catchup/catchup.go
@@ -36,8 +36,8 @@
 
 // Step is what is to be done now.
 type Step struct {
-	// Start holds the calls to make, and Cancel the IDs of open calls to cancel. A cancelled
-	// call is not reported by Ended.
+	// Start holds the calls to make, and Cancel the IDs of open calls to cancel. The end of a
+	// cancelled call is not reported to Failed.
 	Start  []Call
 	Cancel []int
 	// Silent is set if a call to the store is made because another one has no answer.
