Servers: bound the memory and the connections of callers

Callers saw processes end: the HTTP library keeps a buffer for each chunk of a body, up to twice the largest body for each connection, and as many queued requests, trailers and connections as arrive; nothing counted them together. Nothing read maxFds either: 2,000 idle connections kept a gateway from accepting and from reaching its store.

Each connection's incomplete request, queued requests and unsent answers are now counted in one table for all listeners of a process (package shedding), a quarter of the VM's memory. Beyond it, the connection closes that holds most for longest without progress, of the address that holds most so; what is incomplete gets a 503 first. Running requests hold half of that at most, and one address leaves a part to others; a request beyond it is rejected before it runs. Bodies are kept in one buffer (a hook of the library's parser), without copies of large parts. A full listener closes an idle connection for a new one. Receive buffers and backlogs have a size. A request that is complete while its connection is being rejected is not run, as its caller may have been told so.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -107,7 +107,7 @@
 	}
 	// The admin handlers use the lease loop.
 	c.leases = newLeaseLoop(c.settings, control.Holder{VM: c.settings.VM, PeerAddress: c.advertisedPeerAddress()}, c.deps.Log, c.clock, c.replay)
-	c.metricsServer, err = metrics.Serve(c.settings.MetricsListen, c.registry, c.follower.CaughtUp)
+	c.metricsServer, err = metrics.Serve(c.settings.MetricsListen, c.registry, c.follower.CaughtUp, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/crowd/caller_test.go
+++ b/internal/crowd/caller_test.go
@@ -108,7 +108,7 @@
 func (c crowdCase) send(conn net.Conn) error {
 	_ = conn.SetWriteDeadline(time.Now().Add(crowdTimeout))
 	_, err := io.WriteString(conn, c.head)
-	for sent := 0; err == nil && sent+len(c.block) <= c.size; sent += len(c.block) {
+	for sent := 0; err == nil && c.block != "" && sent+len(c.block) <= c.size; sent += len(c.block) {
 		_, err = io.WriteString(conn, c.block)
 	}
 	if err == nil && c.end != "" {
@@ -204,9 +204,14 @@
 
 // ordinaryExchange repeats an ordinary request, each time on a new connection, as callers do
 // after a refusal or a lost connection.
-func ordinaryExchange(address, text string) string {
+func (p *process) ordinaryExchange(address, text string) string {
 	status := ""
 	for end := time.Now().Add(answerTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		select {
+		case <-p.exited:
+			return "the process has ended"
+		default:
+		}
 		if status = exchange(address, text); status == "200 OK" {
 			break
 		}
--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -108,7 +108,7 @@
 			slow := startSlowCaller(t, f.callers, begin)
 			c.run(t, address)
 			time.Sleep(pauseBeforeEnd)
-			if status := ordinaryExchange(f.callers, ordinaryCall()); status != "200 OK" {
+			if status := f.ordinaryExchange(f.callers, ordinaryCall()); status != "200 OK" {
 				t.Errorf("an ordinary request: %s", status)
 			}
 			// The body is no document that the service takes, and is answered all the same.
@@ -116,7 +116,7 @@
 				t.Errorf("a slow caller's request: %s", status)
 			}
 			for _, path := range []string{"/metrics", "/readyz"} {
-				if status := ordinaryExchange(f.metrics, get(path)); status != "200 OK" {
+				if status := f.ordinaryExchange(f.metrics, get(path)); status != "200 OK" {
 					t.Errorf("%s: %s", path, status)
 				}
 			}
--- a/internal/crowd/gateway_test.go
+++ b/internal/crowd/gateway_test.go
@@ -126,14 +126,14 @@
 			slow := startSlowCaller(t, f.callers, begin)
 			c.run(t, address)
 			time.Sleep(pauseBeforeEnd)
-			if status := ordinaryExchange(f.callers, begin+announced(2000)+"\r\n"+strings.Repeat("x", 2000)); status != "200 OK" {
+			if status := f.ordinaryExchange(f.callers, begin+announced(2000)+"\r\n"+strings.Repeat("x", 2000)); status != "200 OK" {
 				t.Errorf("an ordinary request: %s", status)
 			}
 			if status := slow.finish(); status != "200 OK" {
 				t.Errorf("a slow caller's request: %s", status)
 			}
 			for address, path := range map[string]string{f.ready: platform.ReadyPath, f.directory: platform.ResolvePath + "?name=a", f.metrics: "/metrics"} {
-				if status := ordinaryExchange(address, get(path)); status != "200 OK" {
+				if status := f.ordinaryExchange(address, get(path)); status != "200 OK" {
 					t.Errorf("%s: %s", path, status)
 				}
 			}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -53,6 +53,9 @@
 
 func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
 	t, rejection := n.resolve(r)
+	if rejection == nil && httpserver.IsOverload(r) {
+		rejection = withRetryAfter(retryAfterRejection, newError(callerapi.NoCapacity, callerapi.NotRun, "the requests of callers hold too much memory"))
+	}
 	if rejection != nil {
 		n.writeError(w, t, hideNotRunFromRetry(r, rejection))
 		return
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -17,10 +17,13 @@
 	firstToken       *prometheus.HistogramVec
 	betweenToken     *prometheus.HistogramVec
 	openRequests     prometheus.Gauge
-	documentRevision prometheus.Gauge
-	healthVerdicts   *prometheus.CounterVec
-	cacheLoss        *prometheus.GaugeVec
-	waitingRequests  prometheus.Gauge
+	// refusedConnections counts connections that were rejected or closed because of what their
+	// callers did.
+	refusedConnections *prometheus.CounterVec
+	documentRevision   prometheus.Gauge
+	healthVerdicts     *prometheus.CounterVec
+	cacheLoss          *prometheus.GaugeVec
+	waitingRequests    prometheus.Gauge
 	requestMetrics
 }
 
@@ -47,6 +50,10 @@
 		betweenToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "coltsfoot_entry_between_token_seconds", Help: "Time between two tokens.", Buckets: latencyBuckets,
 		}, []string{"service", "version", "route"}),
+		refusedConnections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coltsfoot_entry_refused_connections_total",
+			Help: "Connections rejected or closed because of what their callers did, by listener and reason.",
+		}, []string{"listener", "reason"}),
 		openRequests: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "coltsfoot_entry_open_requests", Help: "Open requests.",
 		}),
@@ -65,7 +72,7 @@
 	})
 	m.registry.MustRegister(m.healthVerdicts, m.cacheLoss, m.waitingRequests)
 	m.requestMetrics = newRequestMetrics(m.registry)
-	m.registry.MustRegister(m.requests, m.answers, m.attempts, m.recomputedTokens, m.firstToken, m.betweenToken, m.openRequests, m.documentRevision,
+	m.registry.MustRegister(m.requests, m.answers, m.attempts, m.recomputedTokens, m.firstToken, m.betweenToken, m.openRequests, m.refusedConnections, m.documentRevision,
 		invariant.Breaches, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -25,6 +25,7 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/registry"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/retry"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/routing"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/shedding"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/suspects"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/tail"
 	"coltsfootpath.example/coltsfootpath/internal/metrics"
@@ -68,9 +69,12 @@
 
 	// Entry VMs: listed is the cloud's list, entryVMs is that list corrected by
 	// the membership states.
-	members  *members
-	listed   atomic.Pointer[[]fleet.VM]
-	entryVMs atomic.Pointer[[]fleet.VM]
+	members *members
+	// callerMemory is what callers make the process hold.
+	callerMemory *shedding.Table
+	refusalLog   *httpserver.RefusalLog
+	listed       atomic.Pointer[[]fleet.VM]
+	entryVMs     atomic.Pointer[[]fleet.VM]
 
 	// Backend servers and the routing to them.
 	backends *fleet.Table
@@ -190,15 +194,21 @@
 	if err != nil {
 		return err
 	}
-	n.metricsServer, err = metrics.Serve(n.settings.MetricsListen, n.metrics.registry, n.Ready)
+	budget := httpserver.NewBudget(n.settings.MemoryMB*megabyte, n.settings.MaxDescriptors)
+	n.callerMemory = shedding.NewTable(budget.MemoryBytes)
+	n.refusalLog = httpserver.NewRefusalLog(n.clock.Now, n.logRefusal)
+	n.metricsServer, err = metrics.Serve(n.settings.MetricsListen, n.metrics.registry, n.Ready, n.callerMemory, n.recordRefusal)
 	if err != nil {
 		return err
 	}
 	n.callerServer, err = httpserver.Start(httpserver.Config{
-		Name:         "caller",
-		Address:      n.settings.Listen,
-		Handler:      n.handler(),
-		MaxBodyBytes: n.settings.MaxBodyBytes,
+		Name:           "callers",
+		Address:        n.settings.Listen,
+		Handler:        n.handler(),
+		MaxBodyBytes:   n.settings.MaxBodyBytes,
+		MaxConnections: budget.Connections,
+		Memory:         n.callerMemory,
+		OnRefuse:       n.recordRefusal,
 	})
 	if err != nil {
 		return err
@@ -209,6 +219,19 @@
 	return err
 }
 
+// recordRefusal counts a connection that was rejected or closed because of what its caller did,
+// and logs some of them.
+func (n *Node) recordRefusal(r httpserver.Refusal) {
+	n.metrics.refusedConnections.WithLabelValues(r.Server, r.Reason).Inc()
+	n.refusalLog.Add(r)
+}
+
+func (n *Node) logRefusal(r httpserver.Refusal, count int) {
+	used, running := n.callerMemory.Used()
+	klog.Warningf("entry: refused connection listener=%s reason=%s count=%d caller=%s status=%d held=%d held-by-all=%d running=%d",
+		r.Server, r.Reason, count, r.Caller, r.Status, r.HeldBytes, used, running)
+}
+
 func (n *Node) startLoops(ctx context.Context) {
 	n.spawn(func() { n.controlFollower.Run(ctx) })
 	n.spawn(func() { n.claimFollower.Run(ctx) })
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -21,6 +21,8 @@
 	DrainTimeout      time.Duration
 	FinishedRetention time.Duration
 	UnreadTimeout     time.Duration
+	MemoryMB          float64
+	MaxDescriptors    int
 	MaxOpenRequests   int
 	MaxBodyBytes      int
 	Workers           int
@@ -35,6 +37,8 @@
 	c := settings.NewSchema("coltsfoot-entry")
 	c.RequiredName("vm", "id", &s.VM, "This VM's id in the cloud's list.")
 	c.RequiredName("vm", "availability_zone", &s.AvailabilityZone, "The availability zone of this VM.")
+	c.Float("vm", "memory_mb", &s.MemoryMB, 256, 64, 1<<20, "MB", "Memory that the process may use.")
+	c.Int("vm", "max_fds", &s.MaxDescriptors, 4096, 256, 1<<20, "descriptors", "Descriptors that the process may have open; 200 of them are kept for files.")
 	c.RequiredAddress("caller", "listen", &s.Listen, "The address that callers connect to.")
 	c.OptionalAddress("caller", "advertise", &s.Advertise, "The address published to callers; by default the listening address.")
 	c.Int("caller", "max_body_bytes", &s.MaxBodyBytes, 1<<20, 1<<10, 16<<20, "bytes", "The largest body that a caller may send.")
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -131,7 +131,7 @@
 
 // writePieceBytes is the size of the pieces in which an answer is sent. The connection of a
 // caller is closed if more than httpserver.DefaultMaxWriteBufferBytes wait for it.
-const writePieceBytes = 256 << 10
+const writePieceBytes = 64 << 10
 
 // writeBody sends the body of an answer as fast as the caller receives it.
 func (q *request) writeBody(body []byte) error {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -91,6 +91,9 @@
 	// full. The platform replaces servers within seconds, and other nodes may
 	// already reach some.
 	retryAfterNoServer = 400 * time.Millisecond
+	// retryAfterOverload applies while the requests of callers hold too much memory. Other
+	// nodes may have some left.
+	retryAfterOverload = 500 * time.Millisecond
 	// retryAfterClosing applies to requests that reach a node which is shutting
 	// down. Other nodes accept them immediately.
 	retryAfterClosing = 50 * time.Millisecond
@@ -143,6 +146,9 @@
 	if !n.members.canShareLimits(q.startedAt) {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no-members", retryAfter: retryAfterNoDocument}
 	}
+	if httpserver.IsOverload(q.r) {
+		return &rejection{status: http.StatusServiceUnavailable, reason: "caller-memory", retryAfter: retryAfterOverload}
+	}
 	if rej := q.checkHead(); rej != nil {
 		return rej
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,9 @@
 	backendServers     prometheus.Gauge
 	members            prometheus.Gauge
 	droppedLines       *prometheus.GaugeVec
+	refusedConnections *prometheus.CounterVec
+	callerMemory       *prometheus.GaugeVec
+	callerConnections  *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds.
@@ -129,8 +132,15 @@
 		droppedLines: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "coltsfoot_gateway_log_lines_dropped", Help: "Log lines dropped because the buffer was full, by importance.",
 		}, []string{"importance"}),
+		refusedConnections: counter("refused_connections_total", "Connections rejected or closed because of what their callers did, by listener and reason.", "listener", "reason"),
+		callerMemory: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_caller_memory_bytes", Help: "Memory of callers' requests that run, and of their other requests and unsent answers.",
+		}, []string{"state"}),
+		callerConnections: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "coltsfoot_gateway_caller_connections", Help: "Open connections of callers, by listener.",
+		}, []string{"listener"}),
 	}
 	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.longPauses, m.answerSeconds, m.predictionError, m.attempts, m.answerEnds, m.searches, m.relocations, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
-		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.evacuatedZones, m.coldServers, m.diverted, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, collectors.NewGoCollector())
+		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.evacuatedZones, m.coldServers, m.diverted, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, m.refusedConnections, m.callerMemory, m.callerConnections, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -24,6 +24,7 @@
 	"coltsfootpath.example/coltsfootpath/internal/coordination/quota"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/retry"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/serverlinks"
+	"coltsfootpath.example/coltsfootpath/internal/coordination/shedding"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/topicview"
 	"coltsfootpath.example/coltsfootpath/internal/coordination/usage"
 	"coltsfootpath.example/coltsfootpath/internal/eventlog"
@@ -69,6 +70,9 @@
 	// defaultMaxBodyBytes bounds request bodies while no document is loaded, and
 	// where the document sets no limit.
 	defaultMaxBodyBytes = 4 << 20
+	// requestLineBytes is allowed for the method, the version and blanks of a head beyond the
+	// document's limit, which checkHead applies.
+	requestLineBytes = 1 << 10
 	// maxConcurrentRequests bounds the requests that are handled at the same time.
 	maxConcurrentRequests = 4096
 )
@@ -103,6 +107,9 @@
 	serverChecks     *serverChecks
 	checks           *checkSlots
 	answerMemory     *answerMemory
+	callerBudget     httpserver.Budget
+	callerMemory     *shedding.Table
+	refusalLog       *httpserver.RefusalLog
 	quarantiner      *quarantiner
 	limits           *serverLimits
 	places           *serverPlaces
@@ -181,6 +188,9 @@
 	n.serverChecks = newServerChecks(n)
 	n.checks = newCheckSlots()
 	n.answerMemory = newAnswerMemory(&settings)
+	n.callerBudget = callerBudget(&settings)
+	n.callerMemory = shedding.NewTable(n.callerBudget.MemoryBytes)
+	n.refusalLog = httpserver.NewRefusalLog(n.now, n.logRefusal)
 	n.quarantiner = newQuarantiner(n)
 	n.moves = newVersionMoves(n)
 	n.retries = retry.NewWindows(retryConfig(&settings), n.members.count)
@@ -222,27 +232,59 @@
 	if err != nil {
 		return err
 	}
-	if n.metricsServer, err = monitor.Serve(n.settings.MetricsAddress, n.metrics.registry, n.Ready); err != nil {
+	if n.metricsServer, err = monitor.Serve(n.settings.MetricsAddress, n.metrics.registry, n.Ready, n.callerMemory, n.recordRefusal); err != nil {
 		return err
 	}
-	if n.readyServer, err = httpserver.Start(httpserver.Config{Name: "ready", Address: n.settings.ReadyAddress, Handler: n.readyHandler()}); err != nil {
-		return err
-	}
-	if n.directoryServer, err = httpserver.Start(httpserver.Config{Name: "directory", Address: n.settings.DirectoryAddress, Handler: n.directoryHandler()}); err != nil {
-		return err
+	for _, l := range []struct {
+		server **httpserver.Server
+		config httpserver.Config
+	}{
+		{&n.readyServer, httpserver.Config{
+			Name: "ready", Address: n.settings.ReadyAddress, Handler: n.readyHandler(),
+			MaxConnections: maxReadyConnections, MaxBodyBytes: maxQueryBodyBytes, MaxWriteBufferBytes: maxQueryWriteBuffer,
+		}},
+		{&n.directoryServer, httpserver.Config{
+			Name: "directory", Address: n.settings.DirectoryAddress, Handler: n.directoryHandler(),
+			MaxConnections: n.callerBudget.DirectoryConnections, MaxBodyBytes: maxQueryBodyBytes, MaxWriteBufferBytes: maxQueryWriteBuffer,
+		}},
+		{&n.callerServer, httpserver.Config{
+			Name: "callers", Address: n.settings.CallerAddress, Handler: n.ingressHandler(),
+			MaxConnections: n.callerBudget.Connections, MaxBodyBytes: defaultMaxBodyBytes, Workers: maxConcurrentRequests,
+		}},
+	} {
+		l.config.Memory, l.config.OnRefuse = n.callerMemory, n.recordRefusal
+		if *l.server, err = httpserver.Start(l.config); err != nil {
+			return err
+		}
 	}
-	n.callerServer, err = httpserver.Start(httpserver.Config{
-		Name: "callers", Address: n.settings.CallerAddress, Handler: n.ingressHandler(),
-		MaxBodyBytes: defaultMaxBodyBytes, Workers: maxConcurrentRequests, OnReject: n.countRejectedConn,
-	})
-	return err
+	return nil
+}
+
+const (
+	// maxReadyConnections bounds the connections to the ready address, which the platform
+	// checks once a second.
+	maxReadyConnections = 32
+	// maxQueryBodyBytes bounds bodies that are sent to the directory and the ready address,
+	// whose requests have none, and maxQueryWriteBuffer the unsent answers of a connection.
+	maxQueryBodyBytes   = 4 << 10
+	maxQueryWriteBuffer = 128 << 10
+)
+
+func callerBudget(settings *Settings) httpserver.Budget {
+	return httpserver.NewBudget(settings.MemoryMB*megabyte, settings.MaxDescriptors)
+}
+
+// recordRefusal counts a connection that was rejected or closed because of what its caller did,
+// and logs some of them.
+func (n *Node) recordRefusal(r httpserver.Refusal) {
+	n.metrics.refusedConnections.WithLabelValues(r.Server, r.Reason).Inc()
+	n.refusalLog.Add(r)
 }
 
-// countRejectedConn counts and logs a connection that was closed because of its
-// input.
-func (n *Node) countRejectedConn(caller string, status int) {
-	n.metrics.requests.WithLabelValues("", "refused-connection").Inc()
-	n.log.Failure("callers", "connection-refused", "caller", caller, "status", status)
+func (n *Node) logRefusal(r httpserver.Refusal, count int) {
+	used, running := n.callerMemory.Used()
+	n.log.Failure("callers", "connection-refused", "listener", r.Server, "reason", r.Reason, "count", count, "caller", r.Caller, "status", r.Status,
+		"held", r.HeldBytes, "held-by-all", used, "running", running, "limit", n.callerBudget.MemoryBytes)
 }
 
 func (n *Node) startLoops() {
@@ -315,7 +357,11 @@
 		limits[w.Name] = quota.Limit{PerSecond: w.QuotaPerSecond, Burst: w.QuotaBurst}
 	}
 	n.quota.Configure(limits, n.now())
-	n.callerServer.SetLimits(httpserver.Limits{HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: d.Limits.IdleTimeout})
+	connLimits := httpserver.Limits{HeaderTimeout: d.Limits.HeaderTimeout, IdleTimeout: d.Limits.IdleTimeout, BodyBytes: d.Limits.BodyBytes}
+	if d.Limits.HeaderBytes > 0 {
+		connLimits.HeadBytes = d.Limits.HeaderBytes + requestLineBytes
+	}
+	n.callerServer.SetLimits(connLimits)
 	n.document.Store(d)
 	n.metrics.documentVersion.Set(float64(d.Version))
 	n.log.Event("document", "in-force", "version", d.Version, "offset", at, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
@@ -379,12 +425,23 @@
 				n.metrics.confirmationAge.WithLabelValues(f.topic).Set(n.now().Sub(c.At).Seconds())
 			}
 		}
+		n.recordCallers()
 		ordinary, failures := n.log.Dropped()
 		n.metrics.droppedLines.WithLabelValues("ordinary").Set(float64(ordinary))
 		n.metrics.droppedLines.WithLabelValues("failure").Set(float64(failures))
 	}
 }
 
+// recordCallers updates the metrics of what callers hold.
+func (n *Node) recordCallers() {
+	used, running := n.callerMemory.Used()
+	n.metrics.callerMemory.WithLabelValues("waiting").Set(float64(used - running))
+	n.metrics.callerMemory.WithLabelValues("running").Set(float64(running))
+	for name, s := range map[string]*httpserver.Server{"callers": n.callerServer, "directory": n.directoryServer, "ready": n.readyServer, "metrics": n.metricsServer} {
+		n.metrics.callerConnections.WithLabelValues(name).Set(float64(s.Connections()))
+	}
+}
+
 const (
 	// drainServeTime is the time for which a draining node accepts new requests,
 	// because callers cache its address. At most half of the grace period is
@@ -455,6 +512,7 @@
 	n.quota.SetExtraBurst(quotaExtraShare*settings.QuotaSlack, n.now())
 	setMemoryLimit(&settings)
 	n.answerMemory.configure(&settings)
+	n.callerMemory.SetLimit(callerBudget(&settings).MemoryBytes)
 	n.backends.costs.SetLearning(settings.LearnedCost)
 	n.log.Event("gateway", "reloaded", "vm", settings.VM, "store", settings.StoreAddress, "taken", strings.Join(applied, ","), "need-start", strings.Join(needRestart, ","))
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -46,8 +46,10 @@
 	SourceAddress net.IP
 
 	MemoryMB float64
-	LinkMbps float64
-	Grace    time.Duration
+	// MaxDescriptors is the number of descriptors that the process may have open.
+	MaxDescriptors int
+	LinkMbps       float64
+	Grace          time.Duration
 
 	Lease       time.Duration
 	UsageWindow time.Duration
@@ -82,6 +84,7 @@
 	{"vm.first_start", true, func(a, b *Settings) bool { return a.FirstStart == b.FirstStart }},
 	{"vm.source_address", false, func(a, b *Settings) bool { return a.SourceAddress.Equal(b.SourceAddress) }},
 	{"vm.memory_mb", true, func(a, b *Settings) bool { return a.MemoryMB == b.MemoryMB }},
+	{"vm.max_fds", false, func(a, b *Settings) bool { return a.MaxDescriptors == b.MaxDescriptors }},
 	{"vm.link_mbps", false, func(a, b *Settings) bool { return a.LinkMbps == b.LinkMbps }},
 	{"vm.grace", true, func(a, b *Settings) bool { return a.Grace == b.Grace }},
 	{"listen", false, func(a, b *Settings) bool {
@@ -135,6 +138,7 @@
 	schema.Bool("vm", "first_start", &s.FirstStart, false, "whether all VMs of the deployment start for the first time")
 	schema.OptionalIP("vm", "source_address", &s.SourceAddress, "local address of connections to backend servers; the system chooses it if empty")
 	schema.Float("vm", "memory_mb", &s.MemoryMB, 256, 64, 1<<20, "MB", "memory that the process may use")
+	schema.Int("vm", "max_fds", &s.MaxDescriptors, 4096, 256, 1<<20, "descriptors", "descriptors that the process may have open; 200 of them are kept for files")
 	schema.Float("vm", "link_mbps", &s.LinkMbps, 1000, 0, 1e6, "Mbit/s", "bandwidth of the VM's link")
 	schema.Duration("vm", "grace", &s.Grace, 8*time.Second, time.Second, time.Hour, "time from SIGTERM to the kill")
 	schema.RequiredAddress("listen", "callers", &s.CallerAddress, "address that callers connect to")
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"coltsfootpath.example/coltsfootpath/internal/coordination/shedding"
 	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
 )
 
@@ -19,11 +20,19 @@
 	ReadyPath   = "/readyz"
 )
 
-const maxConnections = 64
+const (
+	maxConnections = 64
+	// maxBodyBytes bounds bodies, which no request to this address has.
+	maxBodyBytes = 4 << 10
+	// maxWriteBufferBytes bounds the unsent answers of a connection.
+	maxWriteBufferBytes = 512 << 10
+)
 
 // Serve serves metrics, health and readiness on address until the returned server
-// is closed. Readiness fails while ready returns false.
-func Serve(address string, registry *prometheus.Registry, ready func() bool) (*httpserver.Server, error) {
+// is closed. Readiness fails while ready returns false. What callers make the server hold
+// counts in memory, and refuse is called for connections that are closed because of what their
+// callers did; both may be nil.
+func Serve(address string, registry *prometheus.Registry, ready func() bool, memory *shedding.Table, refuse func(httpserver.Refusal)) (*httpserver.Server, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET "+HealthPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -37,7 +46,8 @@
 		httpserver.WriteJSON(w, http.StatusOK, status{Status: "ready"})
 	})
 	return httpserver.Start(httpserver.Config{
-		Name: "metrics", Address: address, Handler: mux, MaxConnections: maxConnections,
+		Name: "metrics", Address: address, Handler: mux, Memory: memory, OnRefuse: refuse,
+		MaxConnections: maxConnections, MaxBodyBytes: maxBodyBytes, MaxWriteBufferBytes: maxWriteBufferBytes,
 	})
 }
 
--- a/internal/transport/httpserver/barrier.go
+++ b/internal/transport/httpserver/barrier.go
@@ -145,6 +145,13 @@
 	return true
 }
 
+// isServer reports whether conn is the receiving end.
+func (b *barrier) isServer(conn *nbio.Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return conn == b.server || b.server == nil && conn.RemoteAddr().String() == b.address
+}
+
 func (b *barrier) close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/transport/httpserver/conns.go
+++ b/internal/transport/httpserver/conns.go
@@ -55,39 +55,109 @@
 
 // checkConns cancels the requests of closed connections. It closes rejected
 // connections whose answers have been sent and idle connections past their
-// limit, and rejects connections whose head is overdue.
+// limit, and rejects connections whose head is overdue. It updates what connections hold.
 func (s *Server) checkConns(now time.Time) {
+	for conn, state := range s.checkEach(now) {
+		s.count(conn, state, false)
+	}
+}
+
+// checkEach is checkConns without the last step. It returns the open connections.
+func (s *Server) checkEach(now time.Time) map[*nbio.Conn]*connState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	open := map[*nbio.Conn]*connState{}
 	for conn, state := range s.conns {
 		if isClosed(conn) {
 			for cancel := range state.cancels {
 				(*cancel)()
 			}
 			if len(state.cancels) == 0 {
-				delete(s.conns, conn)
+				s.remove(conn)
 			}
 			continue
 		}
-		if conn == nil || state.hasRequest() {
+		if conn == nil {
 			continue
 		}
-		if state.rejected {
-			if unsentBytes(conn) == 0 {
-				_ = conn.Close()
-			}
+		unsent := unsentBytes(conn)
+		if unsent > 0 || state.counted > 0 || state.queuedBytes > 0 {
+			open[conn] = state
+		}
+		if state.hasRequest() || state.isSending(unsent, now) {
 			continue
 		}
-		if state.isSending(unsentBytes(conn), now) {
+		if state.rejected {
+			_ = conn.Close()
 			continue
 		}
 		switch overdue, inHead := state.overdue(s.limits, now); {
 		case inHead:
-			s.reject(conn, state, http.StatusRequestTimeout)
+			s.reject(conn, state, ReasonHeadTimeout, http.StatusRequestTimeout)
 		case overdue:
 			_ = conn.Close()
 		}
 	}
+	return open
+}
+
+// makeRoom closes a connection if as many are open as may be. It closes one of the address that
+// has most, without a running request: one that is idle, otherwise the one that has made no
+// progress for longest. It returns false if there is none.
+func (s *Server) makeRoom(caller string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := 0
+	counts := map[string]int{}
+	for conn, state := range s.conns {
+		if conn != nil && !isClosed(conn) {
+			open++
+			if !state.hasRequest() {
+				counts[state.owner]++
+			}
+		}
+	}
+	if open < s.maxConnections {
+		return true
+	}
+	var victim *nbio.Conn
+	var chosen *connState
+	for conn, state := range s.conns {
+		if conn == nil || isClosed(conn) || state.hasRequest() || s.barrier.isServer(conn) {
+			continue
+		}
+		if chosen == nil || state.yieldsBefore(chosen, counts) {
+			victim, chosen = conn, state
+		}
+	}
+	if victim == nil {
+		if s.onRefuse != nil {
+			s.onRefuse(Refusal{Server: s.name, Caller: caller, Reason: ReasonNoRoom})
+		}
+		return false
+	}
+	_ = victim.Close()
+	s.refuse(victim, Refusal{Reason: ReasonConnections})
+	return true
+}
+
+// yieldsBefore reports whether a connection is closed before another one if too many are open.
+// counts holds the number of connections without a request of each address.
+func (c *connState) yieldsBefore(other *connState, counts map[string]int) bool {
+	if counts[c.owner] != counts[other.owner] {
+		return counts[c.owner] > counts[other.owner]
+	}
+	if isIdle := c.counted == 0; isIdle != (other.counted == 0) {
+		return isIdle
+	}
+	return c.lastActivityAt.Before(other.lastActivityAt)
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
 }
 
 func isClosed(conn *nbio.Conn) bool {
--- a/internal/transport/httpserver/httpserver.go
+++ b/internal/transport/httpserver/httpserver.go
@@ -1,19 +1,25 @@
 // Package httpserver runs HTTP handlers on nbio's nbhttp with the limits that
-// an edge server needs: body size, write buffer, idle time and connections.
+// an edge server needs: sizes of requests, the memory that callers make it hold,
+// write buffer, idle time and connections.
 // When a caller disconnects, the contexts of the requests on that connection
 // are cancelled, which nbhttp itself does not do.
 package httpserver
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"k8s.io/klog/v2"
+
+	"coltsfootpath.example/coltsfootpath/internal/coordination/shedding"
 )
 
 // Config configures a server. Zero values of limits other than HeaderTimeout
@@ -22,8 +28,9 @@
 	Name    string
 	Address string
 	Handler http.Handler
-	// MaxBodyBytes is the body size that handlers enforce. A body of more than
-	// twice this size is rejected before a handler runs.
+	// MaxBodyBytes is the size of the largest body. A longer one is not kept, which ReadBody
+	// reports; one of more than twice this size is rejected before a handler runs. SetLimits can
+	// replace it.
 	MaxBodyBytes int
 	// MaxWriteBufferBytes bounds the unsent bytes of a connection. A connection
 	// whose reader falls behind by more is closed.
@@ -34,12 +41,15 @@
 	// HeaderTimeout bounds the time from the first to the last byte of a
 	// request's head. 0 means no limit.
 	HeaderTimeout time.Duration
-	// OnReject is called for each connection that is rejected because of the
-	// bytes it sent or because its head timed out. It may be nil. It is called
-	// with the server's lock held.
-	OnReject func(caller string, status int)
-	// MaxConnections bounds the number of open connections.
+	// OnRefuse is called for each connection that is rejected or closed because of what its
+	// caller did. It may be nil. It may be called with the server's lock held.
+	OnRefuse func(Refusal)
+	// MaxConnections bounds the number of open connections. A further one takes the place of
+	// one that is idle.
 	MaxConnections int
+	// Memory holds what callers make the process hold. The servers of a process can share it.
+	// If it is nil, the server has one of its own, of DefaultMemoryBytes.
+	Memory *shedding.Table
 	// Workers bounds the number of handlers that run concurrently.
 	Workers int
 }
@@ -50,6 +60,7 @@
 	DefaultMaxWriteBufferBytes = 1 << 20
 	DefaultIdleTimeout         = 60 * time.Second
 	DefaultMaxConnections      = 10_000
+	DefaultMemoryBytes         = 64 << 20
 	DefaultWorkers             = 4096
 )
 
@@ -61,8 +72,11 @@
 	stopped   chan struct{}
 	barrier   *barrier
 
-	// onReject is called for rejected connections. It may be nil.
-	onReject func(caller string, status int)
+	name           string
+	maxConnections int
+	memory         *shedding.Table
+	// onRefuse is called for rejected and closed connections. It may be nil.
+	onRefuse func(Refusal)
 
 	mu       sync.Mutex // guards the fields below
 	inflight int        // running handlers
@@ -74,7 +88,7 @@
 func Start(cfg Config) (*Server, error) {
 	cfg.setDefaults()
 	configureLibrary()
-	inner, err := net.Listen("tcp", cfg.Address)
+	inner, err := listen(cfg.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Address)
 	}
@@ -82,17 +96,20 @@
 	listener := newListener(inner, barrier.awaitOrReopen)
 	s := &Server{
 		listener: listener, barrier: barrier, stopped: make(chan struct{}), conns: map[*nbio.Conn]*connState{},
-		limits: Limits{HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout}, onReject: cfg.OnReject,
+		limits: Limits{HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout, HeadBytes: maxHeaderBytes, BodyBytes: cfg.MaxBodyBytes},
+		name:   cfg.Name, maxConnections: cfg.MaxConnections, memory: cfg.Memory, onRefuse: cfg.OnRefuse,
 	}
+	listener.makeRoom = s.makeRoom
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name:                   cfg.Name,
-		Network:                "tcp",
-		Addrs:                  []string{listener.Addr().String()},
-		Listen:                 func(string, string) (net.Listener, error) { return listener, nil },
-		MaxLoad:                cfg.MaxConnections,
-		NPoller:                pollers,
-		ReadLimit:              2*cfg.MaxBodyBytes + maxHeaderBytes,
-		MaxHTTPBodySize:        2 * cfg.MaxBodyBytes,
+		Name:    cfg.Name,
+		Network: "tcp",
+		Addrs:   []string{listener.Addr().String()},
+		Listen:  func(string, string) (net.Listener, error) { return listener, nil },
+		// The listener bounds connections.
+		MaxLoad: math.MaxInt32,
+		NPoller: pollers,
+		// The receiver bounds requests.
+		ReadLimit:              math.MaxInt,
 		ReadBufferSize:         readBufferBytes,
 		MaxWriteBufferSize:     cfg.MaxWriteBufferBytes,
 		MessageHandlerPoolSize: cfg.Workers,
@@ -120,8 +137,39 @@
 	pollers         = 1
 	maxHeaderBytes  = 64 << 10
 	readBufferBytes = 16 << 10
+	// receiveBufferBytes is the size of the kernel's buffer for received bytes of a connection.
+	// Linux doubles it.
+	receiveBufferBytes = 16 << 10
+	// acceptBacklog bounds the connections that wait to be accepted.
+	acceptBacklog = 256
 )
 
+// listen listens on an address. Connections get the receive buffer of the listening socket.
+func listen(address string) (net.Listener, error) {
+	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			if err := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes); err != nil {
+				klog.Warningf("httpserver: set the receive buffer of %s to %d bytes: %v", address, receiveBufferBytes, err)
+			}
+		})
+	}}
+	inner, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	// Connections that wait to be accepted hold received bytes, too.
+	if l, ok := inner.(syscall.Conn); ok {
+		if raw, err := l.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				if err := syscall.Listen(int(fd), acceptBacklog); err != nil {
+					klog.Warningf("httpserver: set the backlog of %s to %d connections: %v", address, acceptBacklog, err)
+				}
+			})
+		}
+	}
+	return inner, nil
+}
+
 func (c *Config) setDefaults() {
 	setDefaultInt(&c.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefaultInt(&c.MaxWriteBufferBytes, DefaultMaxWriteBufferBytes)
@@ -130,6 +178,9 @@
 	if c.IdleTimeout == 0 {
 		c.IdleTimeout = DefaultIdleTimeout
 	}
+	if c.Memory == nil {
+		c.Memory = shedding.NewTable(DefaultMemoryBytes)
+	}
 }
 
 func setDefaultInt(field *int, value int) {
@@ -172,29 +223,53 @@
 }
 
 // track gives each request a context that is cancelled when its connection
-// closes.
+// closes, and counts what the request holds while it runs.
 func (s *Server) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithCancel(r.Context())
+		ctx, cancel := context.WithCancel(context.WithValue(r.Context(), serverKey{}, s))
 		defer cancel()
 		conn := connOf(w)
 		if isClosed(conn) {
 			// An earlier request on this connection has closed it.
 			return
 		}
-		s.register(conn, &cancel)
+		received, _ := r.Body.(*body)
+		if received != nil && received.isExcess {
+			// The connection is rejected, and closed once earlier answers have been sent. The
+			// library must not answer.
+			if hijacker, ok := w.(http.Hijacker); ok {
+				_, _, _ = hijacker.Hijack()
+			}
+			s.mu.Lock()
+			s.stateOf(conn).dequeue(received)
+			s.mu.Unlock()
+			return
+		}
+		holding := s.register(conn, &cancel, received)
 		defer s.unregister(conn, &cancel)
+		if received != nil && holding != nil {
+			if s.memory.Start(holding, received.memory) {
+				defer s.memory.Finish(holding, received.memory)
+			} else {
+				received.isOverload, received.data = true, nil
+			}
+		}
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
-func (s *Server) register(conn *nbio.Conn, cancel *context.CancelFunc) {
+// serverKey is the key of a request's server in its context.
+type serverKey struct{}
+
+// register adds a running request and returns what its connection holds.
+func (s *Server) register(conn *nbio.Conn, cancel *context.CancelFunc, received *body) *shedding.Holding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight++
 	state := s.stateOf(conn)
 	state.cancels[cancel] = struct{}{}
-	state.queued = max(state.queued-1, 0)
+	state.dequeue(received)
+	return state.holding
 }
 
 func (s *Server) unregister(conn *nbio.Conn, cancel *context.CancelFunc) {
--- a/internal/transport/httpserver/json.go
+++ b/internal/transport/httpserver/json.go
@@ -12,8 +12,14 @@
 var ErrBodyTooLarge = errors.New("body is too large")
 
 // ReadBody reads the request's body. It returns ErrBodyTooLarge if the body is
-// longer than limit bytes.
+// longer than limit bytes. The result must not be changed.
 func ReadBody(r *http.Request, limit int64) ([]byte, error) {
+	if b, ok := r.Body.(*body); ok {
+		if b.isTooLong || int64(len(b.data)) > limit {
+			return nil, ErrBodyTooLarge
+		}
+		return b.data, nil
+	}
 	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read body")
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -13,8 +13,8 @@
 	// acceptTimeout bounds the time for which stopAccepting waits for the accept
 	// loop.
 	acceptTimeout = 5 * time.Second
-	// closedErrorDelay delays each net.ErrClosed that Accept returns.
-	closedErrorDelay = 5 * time.Millisecond
+	// errorDelay delays each error that Accept returns.
+	errorDelay = 5 * time.Millisecond
 )
 
 // listener closes acceptEnded once Accept has failed because the listener is
@@ -24,26 +24,29 @@
 	// awaitBarrier waits until the read loop has handled all events that it had
 	// received before the call.
 	awaitBarrier func()
-	acceptEnded  chan struct{}
-	once         sync.Once
-	sleep        func(time.Duration)
+	// makeRoom closes an idle connection if no further one may be open. It returns false if
+	// that fails.
+	makeRoom    func(caller string) bool
+	acceptEnded chan struct{}
+	once        sync.Once
+	sleep       func(time.Duration)
 }
 
 func newListener(inner net.Listener, awaitBarrier func()) *listener {
-	return &listener{Listener: inner, awaitBarrier: awaitBarrier, acceptEnded: make(chan struct{}), sleep: time.Sleep}
+	return &listener{Listener: inner, awaitBarrier: awaitBarrier, makeRoom: func(string) bool { return true }, acceptEnded: make(chan struct{}), sleep: time.Sleep}
 }
 
 // Accept returns the next connection. Only one loop calls it, so an error after
 // a close means that all earlier connections have been taken over by the
-// library. The library's loop retries at once until its Stop has started, so
-// the error is delayed; without the delay the loop would keep the CPU busy.
+// library. The library's loop retries at once, so errors are delayed: without the
+// delay a lack of descriptors, or the time until Stop, would keep the CPU busy.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.accept()
 	if errors.Is(err, net.ErrClosed) {
 		l.once.Do(func() { close(l.acceptEnded) })
-		l.sleep(closedErrorDelay)
 	}
 	if err != nil {
+		l.sleep(errorDelay)
 		return nil, err
 	}
 	// The conversion duplicates the file descriptor, so it comes before the barrier.
@@ -58,6 +61,17 @@
 	return nonBlocking, nil
 }
 
+// accept returns the next connection for which there is room.
+func (l *listener) accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || l.makeRoom(conn.RemoteAddr().String()) {
+			return conn, err
+		}
+		_ = conn.Close()
+	}
+}
+
 // stopAccepting closes the listener and waits until the accept loop has
 // received the error. The library's Stop must not run while a connection is
 // being accepted: the connection's file descriptor would outlive the poller, or
--- a/internal/transport/httpserver/stream.go
+++ b/internal/transport/httpserver/stream.go
@@ -63,9 +63,23 @@
 	if err == nil && s.flusher != nil {
 		s.flusher.Flush()
 	}
+	countUnsent(s.w, s.r)
 	return n, err
 }
 
+// countUnsent updates what the connection of a response holds, if answers wait to be sent.
+func countUnsent(w http.ResponseWriter, r *http.Request) {
+	server, ok := r.Context().Value(serverKey{}).(*Server)
+	conn := connOf(w)
+	if !ok || conn == nil || unsentBytes(conn) == 0 {
+		return
+	}
+	server.mu.Lock()
+	state := server.stateOf(conn)
+	server.mu.Unlock()
+	server.count(conn, state, false)
+}
+
 // End completes the answer. If its connection is closed afterwards, End waits at
 // most timeout until the answer has left this process.
 func (s *Stream) End(timeout time.Duration) {
