Entry: bound the memory of open and finished requests

An entry VM held the prompts and answers of up to 4,096 open requests, and of all that finished in the last minute, of any size. They now hold a fifth of the VM's memory at most: finished ones leave first, those that ended longest ago, and then new requests are rejected as not run.

--- a/internal/coordination/answer/answer_test.go
+++ b/internal/coordination/answer/answer_test.go
@@ -149,7 +149,7 @@
 }
 
 func (h *owners) open(tokens []string) {
-	table := requests.NewTable(1, time.Minute)
+	table := requests.NewTable(1, 1<<30, time.Minute)
 	req, _, err := table.Open(requests.Spec{ID: requests.ID{Workspace: "w", Key: "k"}}, slices.Clone(tokens), start)
 	if err != nil {
 		h.t.Fatal(err)
--- a/internal/entry/command.go
+++ b/internal/entry/command.go
@@ -15,6 +15,9 @@
 	// heapShare of the process's memory is the garbage collector's soft limit. The rest is for
 	// memory that the kernel holds for the process.
 	heapShare = 0.6
+	// requestMemoryShare of the process's memory may hold the prompts and answers of open and
+	// finished requests.
+	requestMemoryShare = 0.2
 )
 
 // Command returns the command that runs an entry node.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -157,7 +157,7 @@
 		control:          tail.NewControlReplay(control.New()),
 		claimTable:       claims.NewTable(callLimits, deps.Clock),
 		backends:         fleet.NewTable(),
-		requests:         requests.NewTable(settings.MaxOpenRequests, settings.FinishedRetention),
+		requests:         requests.NewTable(settings.MaxOpenRequests, int64(requestMemoryShare*settings.MemoryMB*megabyte), settings.FinishedRetention),
 		limiter:          admission.NewLimiter(),
 		workspaceBudgets: retry.NewBudgets(workspaceRetryBudget),
 		workQueue:        make(chan *requestRun, settings.Workers),
--- a/internal/entry/version_test.go
+++ b/internal/entry/version_test.go
@@ -165,7 +165,7 @@
 }
 
 func openRun(n *Node, tokens []string) *requestRun {
-	table := requests.NewTable(10, time.Minute)
+	table := requests.NewTable(10, 1<<20, time.Minute)
 	req, _, err := table.Open(requests.Spec{
 		ID: requests.ID{Workspace: "kitami", Key: "k"}, Service: "assistant", Route: "ask", Version: "v2",
 	}, tokens, time.Unix(1, 0))
--- a/internal/state/requests/requests.go
+++ b/internal/state/requests/requests.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +69,19 @@
 	// answeringVersion is the version that answers the request, empty for
 	// Spec.Version.
 	answeringVersion string
+	// held is the memory that the request counts with in the table's tableHeld, which is nil
+	// if the table does not hold the request.
+	held      int64
+	tableHeld *atomic.Int64
+}
+
+// grow counts the memory of further tokens. mu must be held.
+func (r *Request) grow(tokens []string) {
+	if r.tableHeld != nil {
+		size := tokensMemory(tokens)
+		r.held += size
+		r.tableHeld.Add(size)
+	}
 }
 
 func newRequest(spec Spec, tokens []string, now time.Time) *Request {
@@ -134,6 +149,7 @@
 		return false
 	}
 	r.tokens = append(r.tokens, tokens...)
+	r.grow(tokens)
 	r.notifyReaders()
 	return true
 }
@@ -245,7 +261,11 @@
 // Table holds requests by id.
 type Table struct {
 	maxOpen   int
+	maxBytes  int64
 	retention time.Duration
+	// held is the memory of the requests in the table. It is atomic, as answers grow without
+	// the table's lock.
+	held atomic.Int64
 
 	// mu is the first lock in the order: table, request, fleet.
 	mu        sync.Mutex
@@ -254,9 +274,81 @@
 }
 
 // NewTable returns a table that holds at most maxOpen open requests, and retains
-// finished ones for the given duration.
-func NewTable(maxOpen int, retention time.Duration) *Table {
-	return &Table{maxOpen: maxOpen, retention: retention, byID: map[ID]*Request{}}
+// finished ones for the given duration, or for less if the prompts and answers of all
+// exceed maxBytes. maxBytes bounds new requests, too.
+func NewTable(maxOpen int, maxBytes int64, retention time.Duration) *Table {
+	return &Table{maxOpen: maxOpen, maxBytes: maxBytes, retention: retention, byID: map[ID]*Request{}}
+}
+
+const (
+	// promptFactor times its length is the memory of a prompt, of which the run holds parts.
+	promptFactor = 2
+	// tokenOverheadBytes is the memory of a token beyond its text.
+	tokenOverheadBytes = 32
+)
+
+func tokensMemory(tokens []string) int64 {
+	size := int64(0)
+	for _, token := range tokens {
+		size += int64(len(token)) + tokenOverheadBytes
+	}
+	return size
+}
+
+// add adds a request. mu must be held.
+func (t *Table) add(r *Request) {
+	if previous, ok := t.byID[r.ID]; ok {
+		t.drop(previous)
+	}
+	r.mu.Lock()
+	r.tableHeld, r.held = &t.held, int64(promptFactor*len(r.Prompt))+tokensMemory(r.tokens)
+	t.held.Add(r.held)
+	r.mu.Unlock()
+	t.byID[r.ID] = r
+}
+
+// drop removes a request. mu must be held.
+func (t *Table) drop(r *Request) {
+	delete(t.byID, r.ID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tableHeld != nil {
+		t.held.Add(-r.held)
+		r.tableHeld = nil
+	}
+}
+
+// hasRoom reports whether there is memory for a prompt, or else no other request. It removes
+// finished requests, those that ended first, as far as that is needed. mu must be held.
+func (t *Table) hasRoom(prompt string) bool {
+	size := int64(promptFactor * len(prompt))
+	if t.held.Load()+size > t.maxBytes {
+		t.dropFinished(size)
+	}
+	return t.held.Load()+size <= t.maxBytes || t.openCount == 0
+}
+
+// dropFinished removes finished requests until there is room for size bytes.
+func (t *Table) dropFinished(size int64) {
+	type finished struct {
+		request *Request
+		endedAt time.Time
+	}
+	var all []finished
+	for _, r := range t.byID {
+		r.mu.Lock()
+		if r.end != nil {
+			all = append(all, finished{r, r.endedAt})
+		}
+		r.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b finished) int { return a.endedAt.Compare(b.endedAt) })
+	for _, f := range all {
+		if t.held.Load()+size <= t.maxBytes {
+			return
+		}
+		t.drop(f.request)
+	}
 }
 
 // Open returns the request with the spec's id, which it creates with the given
@@ -272,11 +364,11 @@
 		}
 		return r, false, nil
 	}
-	if t.openCount >= t.maxOpen {
+	if t.openCount >= t.maxOpen || !t.hasRoom(spec.Prompt) {
 		return nil, false, ErrFull
 	}
 	r := newRequest(spec, tokens, now)
-	t.byID[spec.ID] = r
+	t.add(r)
 	t.openCount++
 	return r, true, nil
 }
@@ -295,7 +387,7 @@
 	}
 	tokens, _ := ended.Snapshot()
 	r := newRequest(spec, tokens, now)
-	t.byID[spec.ID] = r
+	t.add(r)
 	t.openCount++
 	return r, nil
 }
@@ -311,7 +403,7 @@
 	}
 	r := newRequest(spec, tokens, now)
 	r.Finish(end, now)
-	t.byID[spec.ID] = r
+	t.add(r)
 	return r
 }
 
@@ -336,7 +428,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byID[r.ID] == r {
-		delete(t.byID, r.ID)
+		t.drop(r)
 	}
 }
 
@@ -387,12 +479,15 @@
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, r := range t.byID {
+	for _, r := range t.byID {
 		r.mu.Lock()
 		old := r.end != nil && now.Sub(r.endedAt) > t.retention
 		r.mu.Unlock()
 		if old {
-			delete(t.byID, id)
+			t.drop(r)
 		}
 	}
+	if t.held.Load() > t.maxBytes {
+		t.dropFinished(0)
+	}
 }
