Gateway: answers that nobody reads don't keep memory from others

A caller that did not read a large answer held its share of the memory for answers until its deadline: four such answers of 4 MiB kept all others of a VM with 144 MB from large answers (502). An answer of which the caller has received nothing for a second is now given up, with its connection, when the memory is needed; one that is received slowly is not.

TestUnreadAnswersLeaveRoom failed before (502 after 40 s), TestStalledAnswerMakesRoom is its model.

--- a/internal/crowd/gateway_test.go
+++ b/internal/crowd/gateway_test.go
@@ -158,3 +158,17 @@
 	}
 	f.verify(t)
 }
+
+// TestUnreadAnswersLeaveRoom: callers that do not read large answers don't keep others from
+// getting theirs.
+func TestUnreadAnswersLeaveRoom(t *testing.T) {
+	f := startGateway(t, buildPrograms(t))
+	crowdCase{count: 60, head: post(largePath) + announced(0) + "\r\n"}.run(t, f.callers)
+	time.Sleep(pauseBeforeEnd)
+	for range 5 {
+		if status := f.ordinaryExchange(f.callers, post(largePath)+announced(0)+"\r\n"); status != "200 OK" {
+			t.Errorf("a large answer: %s", status)
+		}
+	}
+	f.verify(t)
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -135,6 +135,9 @@
 
 // writeBody sends the body of an answer as fast as the caller receives it.
 func (q *request) writeBody(body []byte) error {
+	if q.held != nil {
+		q.held.send(func() int64 { return httpserver.UnsentBytes(q.w) }, func() { httpserver.Abort(q.w) })
+	}
 	for piece := range slices.Chunk(body, writePieceBytes) {
 		if _, err := q.w.Write(piece); err != nil {
 			return err
--- a/internal/gateway/answermemory.go
+++ b/internal/gateway/answermemory.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,9 @@
 	// smallAnswerBytes is the size up to which the buffer of an answer or event is not
 	// counted. Maximum connections to servers bound their number.
 	smallAnswerBytes = 16 << 10
+	// sendStall is the time after which an answer of which the caller receives nothing is given
+	// up if the memory is needed for others.
+	sendStall = time.Second
 	// initialBufferBytes is the size of an answer's first buffer.
 	initialBufferBytes = 4 << 10
 	// initialEventBytes is the size of an event's first buffer.
@@ -27,18 +31,19 @@
 var errAnswerMemory = errors.New("answers exceed the memory for them")
 
 // answerMemory bounds the bytes of answers that a node holds at the same time. If they
-// exceed the limit, the largest one that is still being read is given up. It is safe for
-// concurrent use.
+// exceed the limit, one whose caller has not received anything for sendStall is given up, or
+// else the largest one that is still being read. It is safe for concurrent use.
 type answerMemory struct {
 	mu    sync.Mutex
 	limit int64
 	used  int64
-	// reading holds the counted buffers of answers that are being read.
-	reading map[*answerBuffer]struct{}
+	// reading holds the counted buffers of answers that are being read, and sending those that
+	// are being sent to their callers.
+	reading, sending map[*answerBuffer]struct{}
 }
 
 func newAnswerMemory(settings *Settings) *answerMemory {
-	m := &answerMemory{reading: map[*answerBuffer]struct{}{}}
+	m := &answerMemory{reading: map[*answerBuffer]struct{}{}, sending: map[*answerBuffer]struct{}{}}
 	m.configure(settings)
 	return m
 }
@@ -54,13 +59,20 @@
 // and, after complete, its owner.
 type answerBuffer struct {
 	memory *answerMemory
-	// abort ends the reading of the answer. It must not block.
+	// abort ends the reading of the answer, and later its sending. It must not block.
 	abort func()
 	data  []byte
 
 	// counted and givenUp are guarded by memory.mu.
 	counted int64
 	givenUp bool
+	// unsent returns the number of bytes that wait to be sent to the caller, if the answer is
+	// being sent. sentAt is the time at which the caller was last seen to have received
+	// something, and unsentThen the number of unsent bytes at that time. All are guarded by
+	// memory.mu, too.
+	unsent     func() int64
+	unsentThen int64
+	sentAt     time.Time
 }
 
 // newBuffer returns an empty buffer. If the answer is given up, abort is called.
@@ -74,6 +86,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for m.used+size > m.limit && !b.givenUp {
+		if stalled := m.longestStalled(time.Now()); stalled != nil {
+			m.giveUp(stalled)
+			continue
+		}
 		largest := b
 		for other := range m.reading {
 			if other != b && other.counted > max(largest.counted, b.counted+size) {
@@ -96,9 +112,37 @@
 	m.used -= b.counted
 	b.counted, b.givenUp = 0, true
 	delete(m.reading, b)
+	delete(m.sending, b)
 	b.abort()
 }
 
+// longestStalled returns the answer whose caller has received nothing for longest, nil if all
+// have received something within sendStall. The caller must hold the lock.
+func (m *answerMemory) longestStalled(now time.Time) *answerBuffer {
+	var stalled *answerBuffer
+	for b := range m.sending {
+		if unsent := b.unsent(); unsent != b.unsentThen {
+			b.unsentThen, b.sentAt = unsent, now
+		}
+		if now.Sub(b.sentAt) > sendStall && (stalled == nil || b.sentAt.Before(stalled.sentAt)) {
+			stalled = b
+		}
+	}
+	return stalled
+}
+
+// send states that the answer is being sent from now on, and that abort ends that. unsent
+// returns the number of bytes that wait to be sent. Neither may block.
+func (b *answerBuffer) send(unsent func() int64, abort func()) {
+	b.memory.mu.Lock()
+	defer b.memory.mu.Unlock()
+	b.abort, b.unsent, b.sentAt, b.unsentThen = abort, unsent, time.Now(), unsent()
+	if b.counted > 0 {
+		b.memory.sending[b] = struct{}{}
+	}
+}
+
+
 // unreserve counts size bytes less for a buffer.
 func (m *answerMemory) unreserve(b *answerBuffer, size int64) {
 	m.mu.Lock()
@@ -190,6 +234,7 @@
 	b.memory.used -= b.counted
 	b.counted = 0
 	delete(b.memory.reading, b)
+	delete(b.memory.sending, b)
 }
 
 // holdAnswer makes buffer the last complete answer of the request, and releases the one
--- a/internal/gateway/answermemory_test.go
+++ b/internal/gateway/answermemory_test.go
@@ -121,3 +121,37 @@
 		t.Errorf("%d bytes are counted at the end", memory.used)
 	}
 }
+
+// TestStalledAnswerMakesRoom: an answer whose caller receives nothing is given up for others, and
+// one whose caller is slow is not.
+func TestStalledAnswerMakesRoom(t *testing.T) {
+	memory := newAnswerMemory(&Settings{MemoryMB: 8})
+	open := func(size int) (b *answerBuffer, isAborted *bool) {
+		aborted := false
+		b = memory.newBuffer(func() { aborted = true })
+		if err := b.append(make([]byte, size)); err != nil {
+			t.Fatal(err)
+		}
+		b.complete()
+		return b, &aborted
+	}
+	slowUnsent := int64(100)
+	stalled, _ := open(400 << 10)
+	slow, _ := open(400 << 10)
+	var stalledAborted, slowAborted bool
+	stalled.send(func() int64 { return 100 }, func() { stalledAborted = true })
+	slow.send(func() int64 { return slowUnsent }, func() { slowAborted = true })
+	stalled.sentAt = stalled.sentAt.Add(-2 * sendStall)
+	slow.sentAt = slow.sentAt.Add(-2 * sendStall)
+	slowUnsent--
+	other, otherAborted := open(500 << 10)
+	if !stalledAborted || slowAborted || *otherAborted {
+		t.Errorf("given up: stalled %v, slow %v, other %v", stalledAborted, slowAborted, *otherAborted)
+	}
+	for _, b := range []*answerBuffer{stalled, slow, other} {
+		b.release()
+	}
+	if memory.used != 0 || len(memory.sending) != 0 {
+		t.Errorf("%d bytes and %d answers are left", memory.used, len(memory.sending))
+	}
+}
--- a/internal/transport/httpserver/conns.go
+++ b/internal/transport/httpserver/conns.go
@@ -197,6 +197,15 @@
 	return left.Int()
 }
 
+// UnsentBytes returns the number of bytes of answers that wait to be sent on the connection of a
+// response.
+func UnsentBytes(w http.ResponseWriter) int64 {
+	if conn := connOf(w); conn != nil {
+		return unsentBytes(conn)
+	}
+	return 0
+}
+
 // Abort closes the connection of a response at once, so that a started answer
 // does not look complete to the caller.
 func Abort(w http.ResponseWriter) {
