Gateway: bound the log lines that callers cause

Each rejected request wrote a line with the id that its caller sent, of up to the size of a head, into a queue of 8,192 lines: over 100 MB while the output is slow. The queues of lines are now bounded by their bytes too (256 KiB and 4 MiB), and requests that are rejected for what was sent have 50 lines a second; metrics count all. TestLongLinesAreBounded and TestRejectionsHaveFewLogLines.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -17,6 +17,9 @@
 	// maxOrdinaryLines and maxFailureLines bound the lines that wait to be written.
 	maxOrdinaryLines = 256
 	maxFailureLines  = 8192
+	// maxOrdinaryBytes and maxFailureBytes bound their size. A line contains texts of callers.
+	maxOrdinaryBytes = 256 << 10
+	maxFailureBytes  = 4 << 20
 	// dropReportInterval is the minimum time between reports of dropped lines.
 	dropReportInterval = time.Second
 )
@@ -31,8 +34,8 @@
 
 	// mu guards ordinary and failures. No other lock is taken while it is held.
 	mu       sync.Mutex
-	ordinary []string
-	failures []string
+	ordinary lineQueue
+	failures lineQueue
 
 	droppedOrdinary atomic.Int64
 	droppedFailures atomic.Int64
@@ -40,7 +43,11 @@
 
 // New returns a logger that writes to out until Close.
 func New(out io.Writer) *Logger {
-	l := &Logger{out: out, wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
+	l := &Logger{
+		out: out, wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
+		ordinary: lineQueue{maxLines: maxOrdinaryLines, maxBytes: maxOrdinaryBytes},
+		failures: lineQueue{maxLines: maxFailureLines, maxBytes: maxFailureBytes},
+	}
 	go l.run()
 	return l
 }
@@ -48,13 +55,13 @@
 // Event queues one line about an ordinary outcome or a change of state. In pairs,
 // string keys and values alternate.
 func (l *Logger) Event(part, event string, pairs ...any) {
-	l.add(&l.ordinary, maxOrdinaryLines, &l.droppedOrdinary, formatLine(time.Now(), part, event, pairs))
+	l.add(&l.ordinary, &l.droppedOrdinary, formatLine(time.Now(), part, event, pairs))
 }
 
 // Failure queues one line about a failure. In pairs, string keys and values
 // alternate.
 func (l *Logger) Failure(part, event string, pairs ...any) {
-	l.add(&l.failures, maxFailureLines, &l.droppedFailures, formatLine(time.Now(), part, event, pairs))
+	l.add(&l.failures, &l.droppedFailures, formatLine(time.Now(), part, event, pairs))
 }
 
 // Dropped returns the numbers of ordinary lines and of failure lines that were
@@ -63,14 +70,35 @@
 	return l.droppedOrdinary.Load(), l.droppedFailures.Load()
 }
 
-func (l *Logger) add(queue *[]string, limit int, dropped *atomic.Int64, text string) {
-	l.mu.Lock()
-	full := len(*queue) >= limit
-	if !full {
-		*queue = append(*queue, text)
+// lineQueue holds lines that wait to be written.
+type lineQueue struct {
+	maxLines, maxBytes int
+	lines              []string
+	bytes              int
+}
+
+// push adds a line and reports whether it fits.
+func (q *lineQueue) push(text string) bool {
+	if len(q.lines) >= q.maxLines || q.bytes+len(text) > q.maxBytes {
+		return false
 	}
+	q.lines = append(q.lines, text)
+	q.bytes += len(text)
+	return true
+}
+
+// take returns all lines and removes them.
+func (q *lineQueue) take() []string {
+	lines := q.lines
+	q.lines, q.bytes = nil, 0
+	return lines
+}
+
+func (l *Logger) add(queue *lineQueue, dropped *atomic.Int64, text string) {
+	l.mu.Lock()
+	fits := queue.push(text)
 	l.mu.Unlock()
-	if full {
+	if !fits {
 		dropped.Add(1)
 		return
 	}
@@ -107,8 +135,7 @@
 
 func (l *Logger) flush() {
 	l.mu.Lock()
-	lines := append(l.failures, l.ordinary...)
-	l.failures, l.ordinary = nil, nil
+	lines := append(l.failures.take(), l.ordinary.take()...)
 	l.mu.Unlock()
 	if len(lines) > 0 {
 		_, _ = io.WriteString(l.out, strings.Join(lines, ""))
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -53,3 +53,26 @@
 		t.Fatalf("got %q", got)
 	}
 }
+
+// TestLongLinesAreBounded: long lines, as callers can cause them, take bounded memory while the
+// output blocks.
+func TestLongLinesAreBounded(t *testing.T) {
+	w := &blockingWriter{open: make(chan struct{})}
+	l := New(w)
+	id := strings.Repeat("x", 16<<10)
+	for range 2 * maxFailureLines {
+		l.Failure("request", "refused", "id", id)
+		l.Event("request", "served", "id", id)
+	}
+	l.mu.Lock()
+	held := l.failures.bytes + l.ordinary.bytes
+	l.mu.Unlock()
+	close(w.open)
+	l.Close()
+	if held > maxFailureBytes+maxOrdinaryBytes {
+		t.Errorf("%d bytes wait to be written", held)
+	}
+	if ordinary, failures := l.Dropped(); ordinary == 0 || failures == 0 {
+		t.Errorf("%d ordinary lines and %d failures dropped", ordinary, failures)
+	}
+}
--- a/internal/gateway/answermemory.go
+++ b/internal/gateway/answermemory.go
@@ -142,7 +142,6 @@
 	}
 }
 
-
 // unreserve counts size bytes less for a buffer.
 func (m *answerMemory) unreserve(b *answerBuffer, size int64) {
 	m.mu.Lock()
--- a/internal/gateway/endless_request_test.go
+++ b/internal/gateway/endless_request_test.go
@@ -75,3 +75,20 @@
 		}
 	})
 }
+
+// TestRejectionsHaveFewLogLines: requests that are rejected for what callers send fill neither
+// the log nor the memory.
+func TestRejectionsHaveFewLogLines(t *testing.T) {
+	var l lineLimit
+	now := time.Unix(100, 0)
+	lines := 0
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		if l.allow(now) {
+			lines++
+		}
+	}
+	if lines < maxRejectionLines || lines > 11*maxRejectionLines {
+		t.Errorf("%d lines in 10 s", lines)
+	}
+}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,6 +84,34 @@
 	confirmedBy string
 }
 
+// isCallersFault reports whether the request is rejected for what its caller has sent.
+func (rej *rejection) isCallersFault() bool {
+	return rej.status >= http.StatusBadRequest && rej.status < http.StatusInternalServerError && rej.status != http.StatusTooManyRequests
+}
+
+// maxRejectionLines bounds the log lines in a second about requests that were rejected for what
+// their callers have sent. Metrics count all of them.
+const maxRejectionLines = 50
+
+// lineLimit bounds log lines. It is safe for concurrent use.
+type lineLimit struct {
+	mu sync.Mutex
+	// second is the present second, and count the number of lines in it.
+	second int64
+	count  int
+}
+
+// allow reports whether a line may be written.
+func (l *lineLimit) allow(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if second := now.Unix(); second != l.second {
+		l.second, l.count = second, 0
+	}
+	l.count++
+	return l.count <= maxRejectionLines
+}
+
 const (
 	// retryAfterNoDocument applies while a node that has just started can't serve
 	// yet.
@@ -321,10 +350,12 @@
 	q.closeIfDraining()
 	h.Set("Content-Length", "0")
 	q.w.WriteHeader(rej.status)
-	if rej.confirmedBy != "" {
+	if rej.confirmedBy != "" && n.rejectionLines.allow(n.now()) {
 		n.log.Failure("document", "rejected-by", "id", q.call.ID, "version", q.document.Version, "reason", rej.reason, "confirmed-ago", rej.documentAge, "confirmed-by", rej.confirmedBy)
 	}
-	q.logResult("refused", rej.reason, rej.status)
+	if !rej.isCallersFault() || n.rejectionLines.allow(n.now()) {
+		q.logResult("refused", rej.reason, rej.status)
+	}
 	n.metrics.requests.WithLabelValues(q.routeName(), "refused-"+rej.reason).Inc()
 	if rej.closeConn {
 		httpserver.CloseAfterAnswer(q.w, closeTimeout)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -110,6 +110,7 @@
 	callerBudget     httpserver.Budget
 	callerMemory     *shedding.Table
 	refusalLog       *httpserver.RefusalLog
+	rejectionLines   lineLimit
 	quarantiner      *quarantiner
 	limits           *serverLimits
 	places           *serverPlaces
