Servers: don't handle requests whose head or trailers are too long

A head over the limit behind another request, or trailers over it, were rejected only after the request had been handed on, without the lines beyond the limit: it could run without them. Such a request is now not handled; it gets 431 if no earlier answer is due, and its connection closes.

TestTooLongHeadIsNotHandled failed before (2 requests were handled).

--- a/internal/transport/httpserver/crowd_test.go
+++ b/internal/transport/httpserver/crowd_test.go
@@ -206,3 +206,41 @@
 		t.Errorf("%d lines for %d refusals", lines, total)
 	}
 }
+
+// TestTooLongHeadIsNotHandled: a head over the limit is rejected, also behind another request,
+// and is not handled without the lines that are beyond the limit.
+func TestTooLongHeadIsNotHandled(t *testing.T) {
+	var handled atomic.Int64
+	release := make(chan struct{})
+	s := startServer(t, Config{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			<-release
+		} else {
+			handled.Add(1)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	s.SetLimits(Limits{HeadBytes: 4 << 10})
+	long := "GET /second HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 5<<10) + "\r\n\r\n"
+	c := dial(t, s)
+	send(t, c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"+long)
+	time.Sleep(20 * time.Millisecond)
+	close(release)
+	text, _ := io.ReadAll(c)
+	if strings.Count(string(text), "HTTP/1.1 ") != 1 || !strings.HasPrefix(string(text), "HTTP/1.1 204") {
+		t.Errorf("answers behind another request: %q", text)
+	}
+	alone := dial(t, s)
+	send(t, alone, long)
+	if text, _ := io.ReadAll(alone); !strings.HasPrefix(string(text), "HTTP/1.1 431") {
+		t.Errorf("answer: %q", text)
+	}
+	trailers := dial(t, s)
+	send(t, trailers, "POST /third HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n0\r\nX: "+strings.Repeat("x", 5<<10)+"\r\n\r\n")
+	if text, _ := io.ReadAll(trailers); !strings.HasPrefix(string(text), "HTTP/1.1 431") {
+		t.Errorf("answer to trailers: %q", text)
+	}
+	if n := handled.Load(); n > 0 {
+		t.Errorf("%d requests with too long heads were handled", n)
+	}
+}
--- a/internal/transport/httpserver/progress.go
+++ b/internal/transport/httpserver/progress.go
@@ -333,12 +333,17 @@
 	defer s.mu.Unlock()
 	state := s.stateOf(conn)
 	if state.receiver != nil {
+		tooLong := state.receiver.tooLong
 		received := state.receiver.complete()
-		// The caller of a rejected connection may have been told that the request did not run.
-		received.isExcess = state.queued >= maxQueuedRequests || state.rejected
+		// The caller of a rejected connection may have been told that the request did not run,
+		// and one that is too long lacks lines.
+		received.isExcess = tooLong != 0 || state.queued >= maxQueuedRequests || state.rejected
 		r.Body = received
 		state.queuedBytes += received.memory
-		if received.isExcess {
+		switch {
+		case tooLong != 0:
+			s.reject(conn, state, ReasonTooLong, tooLong)
+		case received.isExcess:
 			s.reject(conn, state, ReasonQueued, 0)
 		}
 	}
--- a/internal/transport/httpserver/receiver.go
+++ b/internal/transport/httpserver/receiver.go
@@ -155,8 +155,8 @@
 	memory int64
 	// isTooLong is set if the body exceeded the largest size and was not kept.
 	isTooLong bool
-	// isExcess is set for a request beyond maxQueuedRequests or of a rejected connection, which
-	// is not handled.
+	// isExcess is set for a request beyond maxQueuedRequests, over the limits or of a rejected
+	// connection, which is not handled.
 	isExcess bool
 	// isOverload is set if the callers' requests hold too much memory for this one.
 	isOverload bool
