--- a/internal/transport/httpserver/conns.go
+++ b/internal/transport/httpserver/conns.go
@@ -107,6 +107,9 @@
 func (s *Server) makeRoom(caller string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.conns) < s.maxConnections {
+		return true
+	}
 	open := 0
 	counts := map[string]int{}
 	for conn, state := range s.conns {
