--- a/internal/transport/httpserver/httpserver.go
+++ b/internal/transport/httpserver/httpserver.go
@@ -88,7 +88,7 @@
 func Start(cfg Config) (*Server, error) {
 	cfg.setDefaults()
 	configureLibrary()
-	inner, err := listen(cfg.Address)
+	inner, err := listen(cfg.Address, min(acceptBacklog, cfg.MaxConnections))
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Address)
 	}
@@ -140,12 +140,14 @@
 	// receiveBufferBytes is the size of the kernel's buffer for received bytes of a connection.
 	// Linux doubles it.
 	receiveBufferBytes = 16 << 10
-	// acceptBacklog bounds the connections that wait to be accepted.
+	// acceptBacklog bounds the connections that wait to be accepted, and so does the number of
+	// those that may be open.
 	acceptBacklog = 256
 )
 
-// listen listens on an address. Connections get the receive buffer of the listening socket.
-func listen(address string) (net.Listener, error) {
+// listen listens on an address, where backlog connections may wait to be accepted. Connections
+// get the receive buffer of the listening socket.
+func listen(address string, backlog int) (net.Listener, error) {
 	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			if err := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes); err != nil {
@@ -161,8 +163,8 @@
 	if l, ok := inner.(syscall.Conn); ok {
 		if raw, err := l.SyscallConn(); err == nil {
 			_ = raw.Control(func(fd uintptr) {
-				if err := syscall.Listen(int(fd), acceptBacklog); err != nil {
-					klog.Warningf("httpserver: set the backlog of %s to %d connections: %v", address, acceptBacklog, err)
+				if err := syscall.Listen(int(fd), backlog); err != nil {
+					klog.Warningf("httpserver: set the backlog of %s to %d connections: %v", address, backlog, err)
 				}
 			})
 		}
