--- a/internal/crowd/gateway_test.go
+++ b/internal/crowd/gateway_test.go
@@ -92,9 +92,7 @@
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
 
 // post returns the begin of a request's head.
-func post(path string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nAuthorization: Bearer " + platformtest.Key + "\r\nColtsfootpath-Request-Id: id-1\r\nColtsfootpath-Deadline-Ms: 40000\r\n"
-}
+func post(path string) string { return platformtest.BeginHead(path, "id-1", 40*time.Second) }
 
 // TestCrowdAtGateway: whatever a crowd of callers sends, the process stays within its VM's memory
 // and descriptors, and others are served meanwhile.
--- a/internal/faultlab/crowd.go
+++ b/internal/faultlab/crowd.go
@@ -132,7 +132,7 @@
 	if kind == 7 {
 		path = platformtest.StreamPath + "x"
 	}
-	head := "POST " + path + " HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nAuthorization: Bearer " + platformtest.Key + "\r\nColtsfootpath-Request-Id: " + id + "\r\nColtsfootpath-Deadline-Ms: 3000\r\n"
+	head := platformtest.BeginHead(path, id, requestTimeout)
 	const inChunks = "Transfer-Encoding: chunked\r\n\r\n"
 	large := fmt.Sprintf("%x\r\n%s\r\n", crowdBlockBytes, strings.Repeat("x", crowdBlockBytes))
 	repeat := func(start, unit string, size int) {
