--- a/internal/coordination/shedding/shedding.go
+++ b/internal/coordination/shedding/shedding.go
@@ -43,10 +43,10 @@
 	// shed closes the connection. It must not block.
 	shed func(held int64)
 	// waiting is the memory of requests that have not started and of answers that were not
-	// sent yet, and running that of requests that run.
-	waiting, running int64
-	progressAt       time.Time
-	isShed           bool
+	// sent yet.
+	waiting    int64
+	progressAt time.Time
+	isShed     bool
 }
 
 // NewTable returns a table that lets callers hold limit bytes.
@@ -173,9 +173,9 @@
 	return chosen
 }
 
-// Start counts size bytes as held by a request that starts to run, which have counted as
-// waiting before. It returns false if running requests hold too much; the request must then be
-// rejected before it has run. Finish must be called in either case only if it returns true.
+// Start counts size bytes, which have counted as waiting before, as held by a request that
+// starts to run, until Finish. It returns false and counts nothing if running requests hold too
+// much; the request must then be rejected before it has run.
 func (t *Table) Start(h *Holding, size int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,16 +185,16 @@
 		t.owners[h.owner] = o
 	}
 	left := int64(runningShare*float64(t.limit)) - t.running - size
-	if left < 0 && t.running > 0 || size > smallBytes && o.running+size > ownerFactor*left && t.running > 0 {
+	isTooMuch := left < 0 || size > smallBytes && o.running+size > ownerFactor*left
+	// A single request always runs.
+	if isTooMuch && t.running > 0 {
 		t.forget(h.owner)
 		return false
 	}
-	size = max(size, 0)
 	moved := min(size, h.waiting)
 	h.waiting -= moved
 	t.used += size - moved
 	t.running += size
-	h.running += size
 	o.running += size
 	return true
 }
@@ -205,7 +205,6 @@
 	defer t.mu.Unlock()
 	t.used -= size
 	t.running -= size
-	h.running -= size
 	t.owners[h.owner].running -= size
 	t.forget(h.owner)
 }
