Servers: collect the memory of shed connections before more is received

Suspected cause: what is shed counts as free at once, but the collector does not keep up while processors are scarce. Now it runs whenever half of the table's limit was shed, and the read loop waits for it. Without a crowd nothing is shed.

--- a/internal/coordination/shedding/shedding.go
+++ b/internal/coordination/shedding/shedding.go
@@ -17,16 +17,22 @@
 	ownerFactor = 2
 	// smallBytes is the size up to which a request is bounded by runningShare only.
 	smallBytes = 16 << 10
+	// debtShare of the limit may be held by connections that were shed and whose memory was not
+	// collected yet.
+	debtShare = 0.5
 	// minStall is the time without progress that is assumed at least.
 	minStall = 10 * time.Millisecond
 )
 
 // Table holds what the connections of callers hold. It is safe for concurrent use.
 type Table struct {
-	mu       sync.Mutex
-	limit    int64
-	used     int64
-	running  int64
+	mu      sync.Mutex
+	limit   int64
+	used    int64
+	running int64
+	// debt is what connections held that were shed since the last call of TakeDebt that
+	// returned true.
+	debt     int64
 	holdings map[*Holding]struct{}
 	owners   map[string]*owner
 }
@@ -138,11 +144,24 @@
 		}
 		victims = append(victims, victim{next, next.waiting})
 		t.used -= next.waiting
+		t.debt += next.waiting
 		next.waiting, next.isShed = 0, true
 	}
 	return victims
 }
 
+// TakeDebt reports whether shed connections held so much that their memory has to be collected
+// before more is received: debtShare of the limit since it last did.
+func (t *Table) TakeDebt() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.debt <= int64(debtShare*float64(t.limit)) {
+		return false
+	}
+	t.debt = 0
+	return true
+}
+
 // weight is what a connection holds in vain: the bytes times the time without progress.
 func (h *Holding) weight(now time.Time) float64 {
 	return float64(h.waiting) * max(now.Sub(h.progressAt), minStall).Seconds()
--- a/internal/coordination/shedding/shedding_test.go
+++ b/internal/coordination/shedding/shedding_test.go
@@ -147,3 +147,25 @@
 		}
 	})
 }
+
+// TestDebtIsDueOnce: what was shed is due for collection each time that it exceeds its share of
+// the limit.
+func TestDebtIsDueOnce(t *testing.T) {
+	table := NewTable(10 * megabyte)
+	due, shed := 0, int64(0)
+	for range 50 {
+		c := open(table, "crowd", start)
+		table.Wait(c.Holding, 4*megabyte, true, start)
+		if table.TakeDebt() {
+			due++
+		}
+	}
+	used, _ := table.Used()
+	shed = 50*4*megabyte - used
+	if want := int(shed / (8 * megabyte)); due < want-1 || due > want+1 {
+		t.Errorf("%d bytes were shed, their collection was due %d times", shed, due)
+	}
+	if table.TakeDebt() && table.TakeDebt() {
+		t.Error("the same debt is due twice")
+	}
+}
--- a/internal/transport/httpserver/progress.go
+++ b/internal/transport/httpserver/progress.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -160,6 +161,10 @@
 	}
 	s.mu.Unlock()
 	s.count(conn, state, true)
+	if s.memory.TakeDebt() {
+		// The collector does not keep up with a crowd on a busy machine.
+		runtime.GC()
+	}
 }
 
 // parseErrorStatus returns the HTTP status for bytes that can't be parsed as a
