--- a/internal/crowd/caller_test.go
+++ b/internal/crowd/caller_test.go
@@ -35,8 +35,7 @@
 	count int
 	// target is the listener that the crowd connects to: callers if it is empty.
 	target string
-	// request is a request as a template of target and headers. The caller sends head, then
-	// block until it has sent size bytes of blocks, and then end. It does not read, and keeps its
+	// Each caller sends head, then block until it has sent size bytes of blocks, and then end. It does not read, and keeps its
 	// connection open.
 	head, block, end string
 	size             int
