--- a/internal/crowd/gateway_test.go
+++ b/internal/crowd/gateway_test.go
@@ -100,6 +100,9 @@
 	programs := buildPrograms(t)
 	begin := post(platformtest.RepeatablePath + "x")
 	cases := append(bodyCases(begin), []crowdCase{
+		{name: "zeros in chunk sizes", count: 60, head: begin + chunked + "\r\n", block: strings.Repeat("0", 1000) + "1\r\nx\r\n", size: 8 << 20},
+		{name: "zeros without end", count: 60, head: begin + chunked + "\r\n", block: repeat("0"), size: 8 << 20},
+		{name: "one byte short", count: 60, head: begin + announced(bodyLimit) + "\r\n", block: repeat("x")[:blockSize], size: bodyLimit - blockSize, end: strings.Repeat("x", blockSize-1)},
 		{name: "bodies that wait", count: 60, head: post(waitPath) + announced(bodyLimit) + "\r\n", block: repeat("x")[:blockSize], size: bodyLimit},
 		{name: "bodies in chunks that wait", count: 60, head: post(waitPath) + chunked + "\r\n", block: chunk(blockSize), size: bodyLimit / blockSize * len(chunk(blockSize)), end: "0\r\n\r\n"},
 		{name: "queued requests", count: 60, head: post(waitPath) + announced(0) + "\r\n", block: strings.Repeat(begin+announced(1000)+"\r\n"+strings.Repeat("x", 1000), 40), size: 4 << 20},
