--- a/internal/gateway/broken_answer_test.go
+++ b/internal/gateway/broken_answer_test.go
@@ -29,9 +29,9 @@
 }
 
 // send sends a request over a new connection. It returns a nil error if the answer
-// looks complete to the caller.
-func (c rawCaller) send(n *Node, path, id, body string, deadline time.Duration) (status int, received string, err error) {
-	conn, err := c.open(n, path, id, body, deadline)
+// looks complete to the caller. headers are further header lines.
+func (c rawCaller) send(n *Node, path, id, body string, deadline time.Duration, headers ...string) (status int, received string, err error) {
+	conn, err := c.open(n, path, id, body, deadline, headers...)
 	if err != nil {
 		return 0, "", err
 	}
@@ -45,17 +45,25 @@
 }
 
 // open sends a request over a new connection and returns the connection.
-func (c rawCaller) open(n *Node, path, id, body string, deadline time.Duration) (net.Conn, error) {
+func (c rawCaller) open(n *Node, path, id, body string, deadline time.Duration, headers ...string) (net.Conn, error) {
 	conn, err := net.Dial("tcp", n.settings.CallerAddress)
 	if err != nil {
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: a.example\r\nAuthorization: Bearer key-w\r\nColtsfootpath-Request-Id: %s\r\nColtsfootpath-Deadline-Ms: %d\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n%s",
-		path, c.protocol, id, deadline.Milliseconds(), c.connection, len(body), body)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: a.example\r\nAuthorization: Bearer key-w\r\nColtsfootpath-Request-Id: %s\r\nColtsfootpath-Deadline-Ms: %d\r\nConnection: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		path, c.protocol, id, deadline.Milliseconds(), c.connection, len(body), headerLines(headers), body)
 	return conn, err
 }
 
+func headerLines(headers []string) string {
+	lines := ""
+	for _, h := range headers {
+		lines += h + "\r\n"
+	}
+	return lines
+}
+
 // possibleCuts returns every combination of framing, place and end of a cut.
 func possibleCuts() []platformtest.Behavior {
 	var cuts []platformtest.Behavior
