Relocation: log and count orders to stop a run, and how each answer ended

Lines of requests now state how the last answer ended (end=) and which orders to stop its runs were given, with what is known of each (stop=SERVER:STATE); relocation stop-ordered states the answer to each order. No logic changes.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,7 +19,7 @@
 func (a *attempt) recordHead(answer *upstream.Answer) {
 	q := a.q
 	a.answer, a.head = answer, platform.DecodeAnswer(answer.Status, answer.Header)
-	q.framing, q.partialEventBytes = answer.Framing(), 0
+	q.framing, q.answerEnd, q.partialEventBytes = answer.Framing(), upstream.EndNotSeen, 0
 	q.recordSent(a.placed)
 	q.node.backends.recordConnected(a.placed)
 	if answer.OnNewConnection && !a.isTunneled.Load() {
@@ -32,6 +32,7 @@
 
 // receiveEnd processes the end of an answer.
 func (a *attempt) receiveEnd(x arrival) attemptOutcome {
+	a.q.answerEnd = a.answer.End()
 	switch {
 	case a.head.NotRun:
 		return a.receiveNotRun(x)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,10 +59,13 @@
 	predictedAnswer *cost.Estimate
 	eventCount      int
 	lastServer      string
-	// framing is that of the last answer, and partialEventBytes the number of bytes
-	// received after its last complete event.
+	// framing is that of the last answer, answerEnd the way in which it ended, and
+	// partialEventBytes the number of bytes received after its last complete event.
 	framing           string
+	answerEnd         upstream.End
 	partialEventBytes int
+	// stops holds the orders to stop runs of the request.
+	stops []*runStop
 	// trialUnits are the quarantined units, its content or parts of its prompt, of which
 	// the request is a trial. It is then sent to one server only.
 	trialUnits []uint64
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -452,7 +452,7 @@
 	q := w.a.q
 	before := q.attemptState
 	outcome := record()
-	q.framing, q.partialEventBytes, q.fullServers = before.framing, before.partialEventBytes, before.fullServers
+	q.framing, q.answerEnd, q.partialEventBytes, q.fullServers = before.framing, before.answerEnd, before.partialEventBytes, before.fullServers
 	q.lastServer, q.predictedFirstToken, q.uncachedTokens = before.lastServer, before.predictedFirstToken, before.uncachedTokens
 	return outcome
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -406,6 +406,6 @@
 		write = n.log.Failure
 	}
 	write("request", outcome, "id", q.call.ID, "reason", reason, "status", status, "route", q.routeName(), "workspace", q.workspaceName(),
-		"service", q.service, "content", contentName(q.content), "server", q.lastServer, "sends", q.sentCount, "framing", q.framing, "partial", q.partialEventBytes, "predicted", q.predictedFirstToken, "uncached", q.uncachedTokens, "predicted-tokens", q.predictedTokens(), "tokens", q.producedTokens(), "first", q.timeToFirstByte, "pause", q.longestPause, "took", n.now().Sub(q.startedAt),
+		"service", q.service, "content", contentName(q.content), "server", q.lastServer, "sends", q.sentCount, "framing", q.framing, "end", q.answerEnd, "stop", q.describeStops(), "partial", q.partialEventBytes, "predicted", q.predictedFirstToken, "uncached", q.uncachedTokens, "predicted-tokens", q.predictedTokens(), "tokens", q.producedTokens(), "first", q.timeToFirstByte, "pause", q.longestPause, "took", n.now().Sub(q.startedAt),
 		"left", q.call.Timeout, "prompt", q.call.PromptTokens, "cost", q.cost, "document", version, "trail", q.trail)
 }
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -179,8 +178,8 @@
 	cancel context.CancelFunc
 	// done receives the result. It is nil unless a relocation is in progress.
 	done chan relocated
-	// stopping is set before the run is stopped.
-	stopping atomic.Bool
+	// order is the order to stop the run.
+	order *runStop
 	// result is set once it was received, and settled is then the end of lastEventsTime.
 	result  *relocated
 	settled *time.Timer
@@ -229,9 +228,11 @@
 	stream, rates := a.streamToMove(), a.copyRates()
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.done = make(chan relocated, 1)
+	r.order = &runStop{server: a.placed.server}
+	q.stops = append(q.stops, r.order)
 	go func() {
 		result := relocated{reason: "panic"}
-		n.contain("relocation", func() { result = n.relocate(ctx, a, destinations, stream, rates, &r.stopping) })
+		n.contain("relocation", func() { result = n.relocate(ctx, a, destinations, stream, rates, r.order) })
 		n.releaseExcept(destinations, result.placed)
 		if result.reason != "" {
 			n.retries.GiveBack(q.service, n.now())
@@ -323,7 +324,7 @@
 
 // relocate decides whether to move a run, copies its memory to the first destination that has
 // room for it, and stops it.
-func (n *Node) relocate(ctx context.Context, a *attempt, destinations []*placedAttempt, stream evacuation.Stream, rates evacuation.Rates, stopping *atomic.Bool) relocated {
+func (n *Node) relocate(ctx context.Context, a *attempt, destinations []*placedAttempt, stream evacuation.Stream, rates evacuation.Rates, order *runStop) relocated {
 	endsAt := n.departureEnd(ctx, a.placed)
 	if endsAt.IsZero() {
 		return relocated{reason: evacuation.Stay.String()}
@@ -345,7 +346,7 @@
 	var c platform.MemoryCopy
 	var err error
 	for _, p = range destinations {
-		if c, _, err = n.copyMemory(copyCtx, a, p, false); err == nil || copyCtx.Err() != nil {
+		if c, err = n.copyMemory(copyCtx, a, p); err == nil || copyCtx.Err() != nil {
 			break
 		}
 		n.log.Event("relocation", "no-room", "id", a.q.call.ID, "server", source.id, "to", p.server.id, "error", err)
@@ -353,27 +354,44 @@
 	if err != nil || ctx.Err() != nil {
 		return n.failedCopy(a, p, c, "copy", errors.CombineErrors(err, ctx.Err()))
 	}
-	stopping.Store(true)
-	stopCtx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	c, isComplete, err := n.copyMemory(stopCtx, a, p, true)
+	c, isComplete, err := n.stopRun(ctx, a, p, order)
 	if err != nil || !isComplete {
 		return n.failedCopy(a, p, c, "stop", err)
 	}
 	return relocated{placed: p, copy: c}
 }
 
+// stopRun asks the attempt's server to stop its run and to copy the rest of its memory to p.
+func (n *Node) stopRun(ctx context.Context, a *attempt, p *placedAttempt, order *runStop) (platform.MemoryCopy, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	sentAt := n.now()
+	order.set(stopSent)
+	c, isComplete, isAnswered, err := n.callCopy(ctx, a, p, true)
+	state := stopStateOf(err, isAnswered)
+	order.set(state)
+	n.metrics.runStops.WithLabelValues(a.placed.server.service, state.String()).Inc()
+	n.log.Event("relocation", "stop-ordered", "id", a.q.call.ID, "server", a.placed.server.id, "to", p.server.id, "state", state, "copy", c, "took", n.now().Sub(sentAt))
+	return c, isComplete, err
+}
+
 // copyMemory asks the attempt's server to copy the memory of its run to that of p.
-func (n *Node) copyMemory(ctx context.Context, a *attempt, p *placedAttempt, final bool) (platform.MemoryCopy, bool, error) {
+func (n *Node) copyMemory(ctx context.Context, a *attempt, p *placedAttempt) (platform.MemoryCopy, error) {
+	c, _, _, err := n.callCopy(ctx, a, p, false)
+	return c, err
+}
+
+func (n *Node) callCopy(ctx context.Context, a *attempt, p *placedAttempt, final bool) (c platform.MemoryCopy, isComplete, isAnswered bool, err error) {
 	head, body, err := platform.AppendCopy(nil, a.placed.info.Address, a.placed.server.id, a.q.call.ID, p.info.Address, final)
 	if err != nil {
-		return platform.MemoryCopy{}, false, err
+		return platform.MemoryCopy{}, false, false, errors.Mark(err, upstream.ErrNotSent)
 	}
 	status, answer, err := n.callEngine(ctx, a.placed.server, http.MethodPost, head, body)
 	if err != nil {
-		return platform.MemoryCopy{}, false, err
+		return platform.MemoryCopy{}, false, false, err
 	}
-	return platform.DecodeCopy(a.placed.info.Address, status, answer)
+	c, isComplete, err = platform.DecodeCopy(a.placed.info.Address, status, answer)
+	return c, isComplete, true, err
 }
 
 // failedCopy logs why a run was not moved, and frees the copy that there may be.
@@ -427,7 +445,7 @@
 // streamEnded returns the attempt that goes on with the run after its stream has ended, nil if
 // the run was not stopped or its copy failed.
 func (r *relocation) streamEnded(ctx context.Context) *attempt {
-	if r.done == nil || !r.stopping.Load() {
+	if r.done == nil || r.order.get() == stopNotSent {
 		return nil
 	}
 	if r.result == nil {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -240,6 +240,10 @@
 	EndOfConnection
 )
 
+var endNames = [...]string{"not-seen", "framed", "connection"}
+
+func (e End) String() string { return endNames[e] }
+
 // End returns how the end of the answer was recognized by the last read of Body.
 func (a *Answer) End() End { return a.end }
 
