Answers: don't believe the end of an unframed answer whose server has ended

Callers got parts of answers without length or chunks as complete ones, streams and plain answers alike, if the server's process ended during the answer: it had announced that it leaves, its entry had been removed, its version was stopped by a finished move, or it crashed. The kernel closes the connections of a process that ends in order.

What the VM knows of the server was asked too late: the check whether the server still listens was made after the caller had its answer, to count the crash.

The check now comes first. No check is added: each such answer was checked before, except on servers that leave. A check of a leaving server is no evidence about links.

--- a/internal/coordination/movephase/movephase.go
+++ b/internal/coordination/movephase/movephase.go
@@ -386,6 +386,15 @@
 	return version != m.Target
 }
 
+// IsRetired reports whether a service no longer needs the given version: its newest move to
+// another one is done.
+func (t *Table) IsRetired(service, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.moves[service]
+	return ok && m.Phase == Done && version != m.Target
+}
+
 // Newest returns a service's newest move.
 func (t *Table) Newest(service string) (Move, bool) {
 	t.mu.Lock()
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -94,7 +94,7 @@
 		return outcomeLost
 	}
 	if !failed {
-		a.recordAnswer()
+		a.recordAnswer(x)
 	}
 	q.forward(buffered)
 	return outcomeAnswered
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,8 +36,9 @@
 	// err is set if the answer can't be read to its end.
 	err error
 	// isConfirmed is set once the end of an answer that has ended with its connection was
-	// checked, isUnconfirmed if it is not believed.
+	// checked, isUnconfirmed if it is not believed. server is the server's state afterwards.
 	isConfirmed, isUnconfirmed bool
+	server                     serverState
 }
 
 const (
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -58,9 +58,6 @@
 	// disconnected is true if the connection was closed or reset by its other end.
 	disconnected bool
 	at           time.Time
-	// confirm, if set, is called instead of counting the loss if the server still
-	// listens: the answer seems to be complete.
-	confirm func()
 }
 
 // contentHash identifies the content of a request, which its caller may send again
@@ -113,11 +110,11 @@
 	sleep(n.ctx, serverCheckDelay)
 	state := serverLeaving
 	if !n.backends.isLeaving(b) {
-		state = n.checkServer(b)
+		state = n.checkServer(n.ctx, b, settleTime)
 		wasCut := n.links.IsCut(b.service)
 		n.awaitLinkCheck(b.service)
 		if !wasCut && n.links.IsCut(b.service) {
-			state = n.checkServer(b)
+			state = n.checkServer(n.ctx, b, settleTime)
 		}
 	}
 	// An announcement or a restart may have been read during the check.
@@ -136,22 +133,19 @@
 		return
 	}
 	for _, l := range losses {
-		switch {
-		case l.confirm == nil || state == serverEnded:
-			n.quarantiner.recordLoss(b, l, state)
-		case state == serverListening:
-			l.confirm()
-		}
+		n.quarantiner.recordLoss(b, l, state)
 	}
 }
 
-// checkServer determines the state of a server. A connection that is refused, or closed at
-// once, may be due to this VM's links, so that a peer decides whether the server has ended.
-func (n *Node) checkServer(b *backend) serverState {
+// checkServer determines the state of a server. A connection that is refused, or closed within
+// the time settle, may be due to this VM's links, so that a peer decides whether the server has
+// ended.
+func (n *Node) checkServer(ctx context.Context, b *backend, settle time.Duration) serverState {
 	startedAt := n.now()
-	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
-	defer cancel()
-	err := b.pool.CheckListening(ctx, settleTime)
+	err := b.checkListening(ctx, settle)
+	if ctx.Err() != nil {
+		return serverUnknown
+	}
 	if err == nil && !n.links.IsCut(b.service) {
 		return serverListening
 	}
@@ -159,7 +153,7 @@
 		n.recordLinkFailure(b, startedAt)
 		return serverUnknown
 	}
-	state, ok := n.checkServerThroughPeer(b)
+	state, ok := n.checkServerThroughPeer(ctx, b)
 	switch {
 	case ok && (state == serverEnded || state == serverUnknown && !errors.Is(err, upstream.ErrClosedAtOnce)):
 		return state
@@ -175,10 +169,17 @@
 	return serverResetting
 }
 
+// checkListening is Pool.CheckListening with serverCheckTimeout.
+func (b *backend) checkListening(ctx context.Context, settle time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
+	defer cancel()
+	return b.pool.CheckListening(ctx, settle)
+}
+
 // checkServerThroughPeer determines the state of a server as seen from a peer, and false if
 // none can tell. A server that the peer reaches has not ended.
-func (n *Node) checkServerThroughPeer(b *backend) (state serverState, ok bool) {
-	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
+func (n *Node) checkServerThroughPeer(ctx context.Context, b *backend) (state serverState, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
 	defer cancel()
 	connection, err := n.tunnels.connect(ctx, n.backends.unplaced(b))
 	switch {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -178,17 +178,12 @@
 	return []any{"content", contentName(unit)}
 }
 
-// recordAnswer records that the server answered the request completely. An answer that ends
-// with its connection may have been cut by the end of its server, which is checked first.
-func (a *attempt) recordAnswer() {
-	q, n := a.q, a.q.node
-	if a.answer.End() != upstream.EndOfConnection {
-		q.recordAnswer()
-		return
+// recordAnswer records that the server answered the request completely. An answer that ended
+// with its connection counts only if the server is known to live on.
+func (a *attempt) recordAnswer(x arrival) {
+	if a.answer.End() != upstream.EndOfConnection || x.server == serverListening {
+		a.q.recordAnswer()
 	}
-	n.serverChecks.add(a.placed.server, loss{
-		requestID: q.call.ID, content: q.content, parts: q.parts, outcome: outcomeAnswered, disconnected: true, at: n.now(), confirm: q.recordAnswer,
-	})
 }
 
 // recordAnswer records that a server answered the request completely.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -160,7 +160,7 @@
 	case !a.hasEvent && a.answer.End() == upstream.EndOfConnection:
 		err = errors.New("stream ended without a length or an event")
 	default:
-		a.recordAnswer()
+		a.recordAnswer(x)
 		return q.finishStream(a.answer)
 	}
 	if !a.hasEvent {
