Answers: don't believe an unframed end at the deadline of the run

Callers got parts of answers without length or chunks as complete ones if the server stopped its run at the deadline that it had been given and closed the connection in order: the close can arrive before the VM's own timer, or both are pending when a VM runs again that stood still. The deadline is an order to stop like the others.

--- a/internal/gateway/answerends.go
+++ b/internal/gateway/answerends.go
@@ -14,7 +14,7 @@
 // end from that of its run or its server, which close their connections in order too. Such an
 // end is believed
 //
-//   - never, if the run may have been stopped by an order;
+//   - never, if the run may have been stopped by an order, or has reached its deadline;
 //   - if the server takes connections afterwards, where the server was told to stop;
 //   - unless the server has ended, where it was not.
 
@@ -33,6 +33,8 @@
 	switch {
 	case a.isStopped():
 		err = errors.New("run was ordered to stop")
+	case a.timeLeft() <= 0:
+		err = errors.New("run has reached its deadline")
 	default:
 		x.server = a.stateAfterEnd()
 		if x.server == serverEnded || x.server == serverLeaving {
@@ -45,11 +47,17 @@
 	}
 }
 
+// timeLeft returns the time in which an answer may still end by itself. The server stops its run
+// at the deadline.
+func (a *attempt) timeLeft() time.Duration {
+	return a.q.deadline.Sub(a.q.node.now()) - minTimeLeft
+}
+
 // stateAfterEnd returns the state of the attempt's server after its answer has ended with its
 // connection. A server that was told to stop and is not seen to listen is serverLeaving.
 func (a *attempt) stateAfterEnd() serverState {
 	n, b := a.q.node, a.placed.server
-	ctx, cancel := context.WithTimeout(a.ctx, serverCheckDelay+serverCheckTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, min(a.timeLeft(), serverCheckDelay+serverCheckTimeout))
 	defer cancel()
 	// A process that ends may close its connections before its listener. A plain answer is not
 	// held for that, unless there is a reason.
--- a/internal/gateway/server_exit_test.go
+++ b/internal/gateway/server_exit_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -75,3 +77,28 @@
 		})
 	}
 }
+
+// TestAnswerStoppedAtItsDeadlineLooksComplete: a server stops its run at the time that it was given
+// and closes the connection in order.
+func TestAnswerStoppedAtItsDeadlineLooksComplete(t *testing.T) {
+	const margin = 8 * time.Millisecond
+	f := newFixture(t)
+	f.addServer("s-1", func(_ int, r platformtest.Run) platformtest.Behavior {
+		millis, err := strconv.Atoi(r.Header.Get("Coltsfootpath-Deadline-Ms"))
+		if err != nil {
+			t.Error(err)
+		}
+		return platformtest.Behavior{Framing: platformtest.FramingNone, Cut: platformtest.CutBeforeEvent, CutEvent: 1, Delay: time.Duration(millis)*time.Millisecond - margin}
+	})
+	n := f.startNode("vm-1", 1)
+	for _, path := range []string{"/fixedstream/x", "/stream/x", "/once/x", "/again/x"} {
+		for _, caller := range []rawCaller{rawCallers[0], rawCallers[2]} {
+			for i := range 5 {
+				status, received, err := caller.send(n, path, fmt.Sprint("late-", i), "body", 300*time.Millisecond)
+				if err == nil && status == http.StatusOK {
+					t.Errorf("%s, %s: the answer looks complete: %q", path, caller.name, received)
+				}
+			}
+		}
+	}
+}
