Deadlines of servers: count the time to connect

A server was given the time that was left when its attempt began, and counts it from the request's arrival.

The deadline now ends the head of the request, and is appended once the connection is at hand. Heads are otherwise built where they were: the caller's headers may not be read once the request has been left.

TestTimeToConnectExtendsDeadline delays dials by 200 ms, of the VM itself or of the peer that serves its tunnel.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -370,7 +370,7 @@
 	a := &attempt{q: q, placed: p, copy: memoryCopy, startedAt: now, progressAt: now, arrivals: make(chan arrival), left: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	q.node.moves.attemptStarted(p, q.routeName(), a.startedAt)
-	request := q.upstreamRequest(p, a.startedAt, memoryCopy)
+	request := q.upstreamRequest(p, memoryCopy)
 	request.Connection = connection
 	request.MaySend = a.maySend
 	request.OnData = func() { a.lastByteAt.Store(int64(time.Since(a.startedAt))) }
@@ -544,11 +544,10 @@
 	return outcome
 }
 
-func (q *request) upstreamRequest(p *placedAttempt, now time.Time, memoryCopy string) upstream.Request {
+func (q *request) upstreamRequest(p *placedAttempt, memoryCopy string) upstream.Request {
 	forward := platform.ForwardedFields{
 		Server:    p.server.id,
 		Workspace: q.workspaceName(),
-		Timeout:   q.deadline.Sub(now),
 		Priority:  q.priority(),
 		LastEvent: q.lastEventID,
 		Copy:      memoryCopy,
@@ -558,10 +557,12 @@
 		maxIdle = maxIdleNonRepeatable
 	}
 	return upstream.Request{
-		Method:  q.r.Method,
-		Head:    platform.AppendHead(make([]byte, 0, 1024), q.r.Method, q.r.RequestURI, q.r.Host, q.r.Header, forward, len(q.body)),
-		Body:    q.body,
-		MaxIdle: maxIdle,
+		Method: q.r.Method,
+		Head:   platform.AppendHead(make([]byte, 0, 1024), q.r.Method, q.r.RequestURI, q.r.Host, q.r.Header, forward, len(q.body)),
+		// Opening a connection, or a tunnel, takes some of the time that is left.
+		FinishHead: func(head []byte) []byte { return platform.AppendDeadline(head, q.deadline.Sub(q.node.now())) },
+		Body:       q.body,
+		MaxIdle:    maxIdle,
 		Matches: func(status int, h http.Header) bool {
 			id := platform.DecodeAnswer(status, h).ID
 			return id == "" || id == q.call.ID
--- a/internal/gateway/lost_links_test.go
+++ b/internal/gateway/lost_links_test.go
@@ -33,6 +33,10 @@
 	form   cutForm
 	conns  map[*linkConn]bool
 	change chan struct{}
+	// delay is the time before a connection is opened, and delayed the number of connections
+	// that were.
+	delay   time.Duration
+	delayed int
 }
 
 func newLinks() *links { return &links{conns: map[*linkConn]bool{}, change: make(chan struct{})} }
@@ -57,8 +61,34 @@
 	return l.form, l.change
 }
 
+// setDelay delays the connections that are opened from now on.
+func (l *links) setDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay, l.delayed = delay, 0
+}
+
+// delayedCount returns the number of connections that were delayed.
+func (l *links) delayedCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delayed
+}
+
+// awaitDelay waits before a connection is opened.
+func (l *links) awaitDelay() {
+	l.mu.Lock()
+	delay := l.delay
+	if delay > 0 {
+		l.delayed++
+	}
+	l.mu.Unlock()
+	time.Sleep(delay)
+}
+
 // dial opens a connection over the links.
 func (l *links) dial(ctx context.Context, d *net.Dialer, address string) (net.Conn, error) {
+	l.awaitDelay()
 	form, _ := l.state()
 	switch form {
 	case linksHang:
--- a/internal/gateway/tunnel_promises_test.go
+++ b/internal/gateway/tunnel_promises_test.go
@@ -111,6 +111,35 @@
 	}
 }
 
+// TestTimeToConnectExtendsDeadline: the time until a connection, or a tunnel, is open counts
+// towards the deadline that the server gets.
+func TestTimeToConnectExtendsDeadline(t *testing.T) {
+	t.Parallel()
+	const delay = 200 * time.Millisecond
+	for _, isTunneled := range []bool{false, true} {
+		t.Run(fmt.Sprint("tunneled=", isTunneled), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			s := f.addServer("s-1", nil)
+			nodes, cuts := startLinkedNodes(f, 2, 1)
+			if isTunneled {
+				cuts[0].set(linksRefuse)
+				f.eventually("the cut is noticed", func() bool {
+					do(t, nodes[0], call{method: "POST", path: "/again/x", key: "key-w", id: "first", body: "first"})
+					return nodes[0].usesTunnels("s")
+				})
+				cuts = cuts[1:]
+			}
+			cuts[0].setDelay(delay)
+			calledAt := f.callUntilServed(nodes[0], call{method: "POST", path: "/once/x", key: "key-w", id: "delayed", body: "b", header: map[string]string{deadlineHeader: "1500"}})
+			if cuts[0].delayedCount() == 0 {
+				t.Fatal("no connection was delayed")
+			}
+			checkDeadline(t, lastRun(s), 1500*time.Millisecond, calledAt, delay)
+		})
+	}
+}
+
 // TestTunneledRequestLosesItsDeadline: the deadline ends a request whose server does not answer.
 func TestTunneledRequestLosesItsDeadline(t *testing.T) {
 	t.Parallel()
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -193,6 +193,8 @@
 	// MaySend is called when a connection is at hand, before the request is written to
 	// it. If it returns false, the request is not sent.
 	MaySend func() bool
+	// FinishHead, if set, appends the rest of the head once a connection is at hand.
+	FinishHead func(head []byte) []byte
 	// Connection is the connection to send the request on. If it is nil, the pool
 	// chooses one.
 	Connection *Connection
@@ -286,6 +288,9 @@
 		p.discard(c)
 		return nil, errors.Mark(ErrWithdrawn, ErrNotSent)
 	}
+	if req.FinishHead != nil {
+		req.Head = req.FinishHead(req.Head)
+	}
 	return p.exchange(ctx, c, req)
 }
 
