Moves: state that a move is done once the old version is idle

The lease holder entered the phase done and told the operator in one step. The operator then stops the servers of the old version, with what runs there: other VMs had not heard of the phase, and their requests were in progress.

The phase now spreads first, so that all new requests go to the new version. The operator is told once the VMs' reports show no request on the old version and no VM in an earlier phase, at 0.93 of the time at the latest; the phase still begins at 0.85. The order to stop is our own, so it waits for accepted requests.

It leaves 0.07 of the time for a change of the lease holder, not 0.15.

--- a/internal/coordination/movephase/movephase.go
+++ b/internal/coordination/movephase/movephase.go
@@ -94,8 +94,9 @@
 	MaxExposedShare float64
 	ExposedSlack    float64
 	// ShiftAfter and DoneAfter are the fractions of the allowed time after which
-	// the move may enter the phases Shift and Done.
-	ShiftAfter, DoneAfter float64
+	// the move may enter the phases Shift and Done. StateAfter is the one after which a
+	// move that is done is stated although requests still run on the old version.
+	ShiftAfter, DoneAfter, StateAfter float64
 	// The shift requires MinAnswers of the new version, or ReducedMinAnswers
 	// once the fraction ReduceAfter of the time has passed.
 	MinAnswers        uint64
@@ -140,6 +141,7 @@
 	ExposedSlack:      30,
 	ShiftAfter:        0.6,
 	DoneAfter:         0.85,
+	StateAfter:        0.93,
 	MinAnswers:        15,
 	ReducedMinAnswers: 5,
 	ReduceAfter:       0.75,
@@ -240,6 +242,13 @@
 	return p
 }
 
+// MayState reports whether the operator may be told of a move's phase p. The operator stops the
+// servers of the old version once it is told that the move is done. isOldIdle is true if no
+// request runs on them and no VM sends any.
+func (c Config) MayState(p Phase, isOldIdle bool, elapsed, timeLimit time.Duration) bool {
+	return p != Done || isOldIdle || float64(elapsed) >= c.StateAfter*float64(timeLimit)
+}
+
 // Share returns the share of requests that the new version gets in phase p.
 func (c Config) Share(p Phase, e Evidence, routes []Evidence, elapsed, timeLimit time.Duration) float64 {
 	switch {
--- a/internal/coordination/movephase/movephase_test.go
+++ b/internal/coordination/movephase/movephase_test.go
@@ -356,3 +356,27 @@
 		}
 	}
 }
+
+// TestDoneMoveIsStatedLate: requests on the old version must not keep a move from being stated in
+// time.
+func TestDoneMoveIsStatedLate(t *testing.T) {
+	const limit = 20 * time.Second
+	for _, c := range []struct {
+		phase     Phase
+		isOldIdle bool
+		elapsed   time.Duration
+		want      bool
+	}{
+		{Trial, false, 0, true},
+		{Shift, false, 15 * time.Second, true},
+		{RolledBack, false, 15 * time.Second, true},
+		{Done, false, 17 * time.Second, false},
+		{Done, true, 17 * time.Second, true},
+		{Done, false, 19 * time.Second, true},
+		{Done, false, limit, true},
+	} {
+		if got := DefaultConfig.MayState(c.phase, c.isOldIdle, c.elapsed, limit); got != c.want {
+			t.Errorf("%+v: got %v", c, got)
+		}
+	}
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -424,6 +424,20 @@
 	return hasVersion, hasOtherVersions
 }
 
+// runningOnOthers returns the number of requests that run on a service's servers of other
+// versions than the given one, as far as VMs have reported.
+func (t *backendTable) runningOnOthers(service, version string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	totals, running := t.peerTotals(now), 0.0
+	for _, b := range t.byService[service] {
+		if b.info.SoftwareVersion != version {
+			running += b.ownLoad.Running + totals[b.shortHash].Running
+		}
+	}
+	return int(running)
+}
+
 func (t *backendTable) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -330,8 +330,31 @@
 				"new-sent", e.NewSent, "old-sent", e.OldSent, "new", e.NewAnswers, "new-bad", e.NewFailures, "new-timed", e.NewTimed, "new-slow", e.NewSlow,
 				"old", e.OldAnswers, "old-bad", e.OldFailures, "old-timed", e.OldTimed, "old-slow", e.OldSlow, "after", now.Sub(m.ReceivedAt))
 		}
-		v.publishStatus(ctx, m, next)
+		if movephase.DefaultConfig.MayState(next, v.isOldVersionIdle(m, now), now.Sub(m.ReceivedAt), m.TimeLimit) {
+			v.publishStatus(ctx, m, next)
+		}
+	}
+}
+
+// isOldVersionIdle reports whether all VMs know that a move is done, and no request runs on the
+// old version.
+func (v *versionMoves) isOldVersionIdle(m movephase.Move, now time.Time) bool {
+	if v.node.backends.runningOnOthers(m.Service, m.Target, now) > 0 {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, report := range v.peerReports {
+		if now.Sub(report.receivedAt) > maxEvidenceAge {
+			continue
+		}
+		for _, x := range report.moves {
+			if x.Service == shortHash(m.Service) && x.Order == m.Order && movephase.Phase(x.Phase) < movephase.Done {
+				return false
+			}
+		}
 	}
+	return true
 }
 
 // restoreStatus reads the status that an earlier lease holder published for the
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -243,3 +243,38 @@
 		t.Errorf("outdated reports count: %+v", routes)
 	}
 }
+
+// TestFinishedMoveCutsRequestsOnOldVersion: the operator stops the servers of the old version
+// once it is told that a move is done, while requests run there.
+func TestFinishedMoveCutsRequestsOnOldVersion(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	old := f.addServerOfVersion("v1", "old", always(platformtest.Behavior{EventPause: 300 * time.Millisecond}))
+	n := f.startNode("vm-1", 1)
+	f.orderMove(10 * time.Second)
+	f.eventually("the move is in progress", func() bool { return f.moveStatus() != "" })
+	f.addServerOfVersion("v2", "new", nil)
+	result := make(chan reply, 1)
+	go func() {
+		result <- do(t, n, call{method: "POST", path: "/fixedstream/x", key: "key-w", id: "old-1", body: "b"})
+	}()
+	f.eventually("the request runs on the old version", func() bool { return len(old.Runs()) == 1 })
+	n.moves.table.AdvancePhase("s", n.moves.table.Moves()[0].Order, movephase.Done, n.now())
+	isDone := func() bool { return strings.Contains(f.moveStatus(), platform.MoveDone) }
+	var got reply
+	f.eventually("the request has its answer", func() bool {
+		select {
+		case got = <-result:
+			return true
+		default:
+		}
+		if isDone() {
+			old.Close()
+		}
+		return false
+	})
+	if got.err != nil || got.body != eventText(1, platformtest.EventCount) {
+		t.Errorf("got %+v", got)
+	}
+	f.eventually("the move is stated as done", isDone)
+}
