Upstream: a reset that the write has met is no end of an answer

Callers got a part of an answer as the whole one: a server answered a long request at once, without a length, and reset the connection while the body was still being written.

Cause: bodies over 8 KiB are written while the answer is read. Linux reports the error of a connection (ECONNRESET, also ETIMEDOUT) to the first call that meets it and clears it; if that is the write, reads return io.EOF, which is the end of an answer without framing. The same in a peer that serves a tunnel, which sent EndClosed for a connection that was reset.

Change: conn.Read passes io.EOF on only if no write on the connection has failed. A write that is blocked is ended by its deadline first; the connection carries nothing more by then. EPIPE and the deadline are no failures: the system returns EPIPE where a FIN had been received before the reset. Pool.Dial returns such connections too.

Alternatives: wait for the result of the write where the body ends (the same for skipped answers, heads and tunnels anew, and Close reads that result too); the state of the socket (closed, whether a FIN came before the reset or not); no read while a body is written (servers answer early).

--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -231,7 +231,10 @@
 
 func (c *tunnelConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	return n, c.ended(err)
+	if err = c.ended(err); err == io.EOF {
+		err = syscall.EPIPE
+	}
+	return n, err
 }
 
 // ended returns the error with which the tunnel has ended in place of that of the pipe.
--- a/internal/transport/upstream/connection.go
+++ b/internal/transport/upstream/connection.go
@@ -69,13 +69,14 @@
 func (c *Connection) IsAdopted() bool { return c.conn.adopted }
 
 // Dial opens a connection that is not used by the pool, but counts as one of it until it is
-// closed. Its errors are marked with ErrNotSent.
+// closed. Its errors are marked with ErrNotSent. Reads return io.EOF only if the other end has
+// closed the connection in an orderly way.
 func (p *Pool) Dial(ctx context.Context) (net.Conn, error) {
 	c, err := p.open(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return &dialed{Conn: c.Conn, release: func() { p.discard(c) }}, nil
+	return &dialed{Conn: c, release: func() { p.discard(c) }}, nil
 }
 
 // dialed is a connection that was opened by Dial.
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -116,7 +117,10 @@
 // conn is a connection with its state between requests.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	// writing is held during a write, and guards writeErr, the first error of a write.
+	writing  sync.Mutex
+	writeErr error
+	reader   *bufio.Reader
 	// source is what reader reads from.
 	source *source
 	// headLimit bounds the bytes that reader reads from Conn for the head of an
@@ -653,9 +657,46 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	from := &source{Reader: raw}
-	limited := &io.LimitedReader{R: from, N: math.MaxInt64}
-	return &conn{Conn: raw, source: from, headLimit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
+	c := &conn{Conn: raw}
+	c.source = &source{Reader: c}
+	c.headLimit = &io.LimitedReader{R: c.source, N: math.MaxInt64}
+	c.reader = bufio.NewReaderSize(c.headLimit, readBufferBytes)
+	return c
+}
+
+// Write records the first error.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read returns io.EOF only if the other end has closed the connection in an orderly way. The
+// system reports a reset to one call only: if that is a write, reads return io.EOF.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// endError returns the error with which the connection has ended, io.EOF if it was closed in an
+// orderly way. It ends a write in progress, as no answer follows on the connection.
+func (c *conn) endError() error {
+	// If this fails, the connection is closed, which ends the write, too.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	// EPIPE means that the other end had closed the connection in an orderly way before it reset it.
+	if c.writeErr == nil || errors.IsAny(c.writeErr, os.ErrDeadlineExceeded, syscall.EPIPE) {
+		return io.EOF
+	}
+	return errors.Wrap(c.writeErr, "connection ended")
 }
 
 // source keeps the last error of a connection.
