Tunnels: a failed write to the server does not end what it has sent

Callers of a VM with cut links lost whole answers: a server answered a long request early, without a length, closed the connection in order and then reset it, as it did not read the rest of the request. A plain reset by the server counted as the loss of the tunnel, which is no evidence about the server.

Cause: the peer closed the server's connection when a write to it failed, before it had read what the server had sent and how the connection had ended; the tunnel then ended without a statement.

Change: after a failed write the peer drops what still arrives for the server, and reads on. The connection ends with the tunnel, as before.

--- a/internal/gateway/reset_upload_test.go
+++ b/internal/gateway/reset_upload_test.go
@@ -35,6 +35,8 @@
 	earlyReset
 	// earlyClose sends the whole answer, closes the connection for sending, and reads on.
 	earlyClose
+	// earlyCloseReset is earlyClose without reading on: the connection is reset.
+	earlyCloseReset
 )
 
 // earlyServer is a backend server that answers without a length while it receives a request.
@@ -104,12 +106,14 @@
 			pieces = pieces[:1]
 		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nColtsfootpath-Request-Id: %s\r\nColtsfootpath-Engine-Seal: seal\r\n\r\n%s", id, strings.Join(pieces, ""))
-		if end == earlyReset {
-			_ = c.SetLinger(0)
+		if end != earlyReset {
+			_ = c.CloseWrite()
+		}
+		if end == earlyClose {
+			_, _ = io.Copy(io.Discard, r.Body)
 			return
 		}
-		_ = c.CloseWrite()
-		_, _ = io.Copy(io.Discard, r.Body)
+		_ = c.SetLinger(0)
 		return
 	}
 }
@@ -284,26 +288,45 @@
 }
 
 // TestEarlyAnswerClosedInOrderIsLost: servers answer long requests at once, without a length, and
-// close the connection in order after the whole answer.
+// close the connection in order after the whole answer, whatever becomes of the request's body.
 func TestEarlyAnswerClosedInOrderIsLost(t *testing.T) {
 	t.Parallel()
 	const rounds = 5
 	for _, isTunneled := range []bool{false, true} {
 		t.Run(fmt.Sprint("tunnel ", isTunneled), func(t *testing.T) {
 			e := newEarlyTrial(t, isTunneled)
-			e.setEnd(earlyClose)
-			for _, path := range earlyPaths {
-				for range rounds {
-					id, status, received, answers, err := e.send(path)
-					isWhole := received == "answer of s-1 to "+id || received == "answer of s-2 to "+id
-					if strings.Contains(path, "stream") {
-						isWhole = received == eventText(1, platformtest.EventCount)
-					}
-					if status != http.StatusOK || err != nil || !isWhole || answers != 1 {
-						t.Errorf("%s: status %d, %q, error %v after %d answers", path, status, received, err, answers)
+			for _, end := range []earlyEnd{earlyClose, earlyCloseReset} {
+				e.setEnd(end)
+				for _, path := range earlyPaths {
+					for range rounds {
+						id, status, received, answers, err := e.send(path)
+						isWhole := received == "answer of s-1 to "+id || received == "answer of s-2 to "+id
+						if strings.Contains(path, "stream") {
+							isWhole = received == eventText(1, platformtest.EventCount)
+						}
+						if status != http.StatusOK || err != nil || !isWhole || answers != 1 {
+							t.Errorf("%s, end %d: status %d, %q, error %v after %d answers", path, end, status, received, err, answers)
+						}
 					}
 				}
 			}
 		})
 	}
 }
+
+// TestResetDuringUploadLooksLikeLostTunnel: a reset by the server is evidence about the server,
+// though the request has gone through a tunnel.
+func TestResetDuringUploadLooksLikeLostTunnel(t *testing.T) {
+	t.Parallel()
+	const rounds = 20
+	e := newEarlyTrial(t, true)
+	e.setEnd(earlyReset)
+	for range rounds {
+		if id, status, received, answers, err := e.send("/once/"); err == nil && status == http.StatusOK || answers != 1 {
+			t.Errorf("%s: status %d, %q, error %v after %d answers", id, status, received, err, answers)
+		}
+	}
+	if lost := e.logs.countLines("attempt lost", "links=cut", "answer is incomplete"); lost > 0 {
+		t.Errorf("%d of %d resets were taken for the loss of a tunnel", lost, rounds)
+	}
+}
--- a/internal/gateway/tunnel_server.go
+++ b/internal/gateway/tunnel_server.go
@@ -56,13 +56,15 @@
 	}
 	go func() {
 		defer connection.Close()
-		for {
+		for canWrite := true; ; {
 			data, _, err := tunnel.Receive()
 			if err != nil {
 				return
 			}
-			if _, err := connection.Write(data); err != nil {
-				return
+			if canWrite {
+				// The reader learns how the connection ended, after what the server had sent.
+				_, err = connection.Write(data)
+				canWrite = err == nil
 			}
 		}
 	}()
