Tunnels: a broken tunnel is no orderly end of the server's connection

A part of an answer without a length could reach a caller as the whole one if the tunnel broke while the request was being sent through it. Found by reading, beside the reset that the write has met; not seen from outside.

Cause: the sender closed the tunnel's connection when it could not send, before the receiver had noted how the tunnel had ended. Reads then return io.EOF, which is the end of an answer without framing.

Change: the sender only cancels the tunnel. The receiver then ends, notes the error and closes the connection; it is the only one that does.

--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -177,7 +177,7 @@
 func (t *tunnels) send(tunnel *relayapi.Tunnel, remote net.Conn, cancel context.CancelFunc) {
 	defer cancel()
 	if _, err := io.Copy(tunnel, remote); err != nil {
-		_ = remote.Close()
+		// The receiver closes the connection once it knows how the tunnel has ended.
 		return
 	}
 	if tunnel.CloseSend() != nil {
