HTTP server: the answer to a HEAD request of a stream ends with its head

A caller that sent HEAD to a stream's route got five bytes after the head, which began the next answer on its connection: it could not be read.

Cause: the library sends the last chunk of an answer without a length, whatever the method. Change: a stream answers HEAD with a length of 0, and drops its body.

--- a/internal/transport/httpserver/stream.go
+++ b/internal/transport/httpserver/stream.go
@@ -28,6 +28,10 @@
 	s.flusher, _ = w.(http.Flusher)
 	conn := connOf(w)
 	if r.ProtoAtLeast(1, 1) || conn == nil {
+		if r.Method == http.MethodHead {
+			// The library would send the last chunk.
+			w.Header().Set("Content-Length", "0")
+		}
 		w.WriteHeader(status)
 		return s, nil
 	}
@@ -54,8 +58,11 @@
 	return s, errors.Wrap(err, "send head")
 }
 
-// Write sends a part of the answer's body.
+// Write sends a part of the answer's body, unless the answer has only a head.
 func (s *Stream) Write(p []byte) (int, error) {
+	if s.r.Method == http.MethodHead {
+		return len(p), nil
+	}
 	if s.conn != nil {
 		return s.conn.Write(p)
 	}
