HTTP server: statuses without a name are sent as given

A caller got 200, with the server's body and seal, where a server had answered with a status that has no name, such as 299, 499, 520 or 600. So a failure looked like a success.

Cause: the library's WriteHeader ignores a status for which http.StatusText has no text, and sends 200 later. HTTP/1.0 callers of streams got the right one: that head is written here.

Change: httpserver.WriteHeader sets the two fields of the library's response, as the package already reads others, and panics at the start of the process if the library has no such fields. The reason is that of net/http, "status code 520". Statuses outside 100 to 999 become 500; none comes from a server. The alternative, to take the connection over, writes the head, the framing and the close anew for each kind of answer. The gateway's answers and streams, and WriteJSON, use it. The entry VM passes no status of a server on.

Classes, as designed: 299 with a seal is a success after one run; 520, 600 and 999 are failures and are sent again once where the route allows two servers.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -117,7 +117,7 @@
 	platform.CopyAnswerHeaders(h, a.header)
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	q.closeIfDraining()
-	q.w.WriteHeader(a.status)
+	httpserver.WriteHeader(q.w, a.status)
 	err := q.writeBody(a.body)
 	q.flushBeforeClose()
 	outcome := "served"
--- a/internal/transport/httpserver/json.go
+++ b/internal/transport/httpserver/json.go
@@ -47,6 +47,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
+	WriteHeader(w, status)
 	_, _ = w.Write(data)
 }
--- a/internal/transport/httpserver/stream.go
+++ b/internal/transport/httpserver/stream.go
@@ -24,6 +24,7 @@
 
 // StartStream sends the head of an answer with the headers that were set on w.
 func StartStream(w http.ResponseWriter, r *http.Request, status int) (*Stream, error) {
+	status = validStatus(status)
 	s := &Stream{w: w, r: r}
 	s.flusher, _ = w.(http.Flusher)
 	conn := connOf(w)
@@ -32,7 +33,7 @@
 			// The library would send the last chunk.
 			w.Header().Set("Content-Length", "0")
 		}
-		w.WriteHeader(status)
+		WriteHeader(w, status)
 		return s, nil
 	}
 	hijacker, ok := w.(http.Hijacker)
@@ -48,7 +49,7 @@
 	h := w.Header()
 	h.Del("Content-Length")
 	h.Set("Connection", "close")
-	_, err := fmt.Fprintf(conn, "%s %d %s\r\n", r.Proto, status, http.StatusText(status))
+	_, err := fmt.Fprintf(conn, "%s %d %s\r\n", r.Proto, status, reason(status))
 	if err == nil {
 		err = h.Write(conn)
 	}
