Upstream: a status below 100 is no interim answer

A server in trouble answered with the status 000. Callers did not get that status, but the exchange went on as after a 1xx: an answer that followed was passed on as a success, and without one the request waited until its deadline.

Cause: all statuses below 200 were skipped. Change: one below 100 ends the exchange with ErrInvalid, as any bytes that are no answer, and ErrAnswerStarted: the request has run.

--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -81,6 +81,8 @@
 			return
 		case "headonly":
 			fmt.Fprintf(c, "%s\r\n", head)
+		case "answer":
+			fmt.Fprintf(c, "%sContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nColtsfootpath-Request-Id: %s\r\nColtsfootpath-Engine-Seal: seal\r\nContent-Length: 4\r\n\r\nbody", head, id)
 		}
 	}
 }
@@ -189,11 +191,12 @@
 	}
 }
 
-// TestStatusBelow100IsForwarded: no status below 100 reaches a caller.
+// TestStatusBelow100IsForwarded: no status below 100 reaches a caller, nor a success that follows
+// it on the connection.
 func TestStatusBelow100IsForwarded(t *testing.T) {
 	t.Parallel()
 	for _, status := range []string{"000", "099"} {
-		for _, framing := range []string{"length", "close", "headonly"} {
+		for _, framing := range []string{"length", "close", "headonly", "answer"} {
 			t.Run(status+" "+framing, func(t *testing.T) {
 				t.Parallel()
 				s := newStatusTrial(t)
--- a/internal/transport/upstream/endless_test.go
+++ b/internal/transport/upstream/endless_test.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// TestStatusBelow100IsInterim: the exchange ends with such a status, whatever follows it.
+func TestStatusBelow100IsInterim(t *testing.T) {
+	for _, status := range []string{"000", "001", "099"} {
+		for _, next := range []string{"", "body", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok"} {
+			address, _ := serve(t, sendEndlessly("HTTP/1.1 "+status+" None\r\nId: a\r\n\r\n"+next, "x", 0))
+			got, err := exchange(t, newPool(address, 4), "a")
+			if !errors.Is(err, ErrInvalid) || !errors.Is(err, ErrAnswerStarted) || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF) {
+				t.Errorf("status %s, then %q: got %q, error %v, want ErrInvalid", status, next, got, err)
+			}
+		}
+	}
+}
+
 // TestClosedConnectionIsInvalidAnswer: a connection that ends early must not be reported as
 // bytes that are no answer.
 func TestClosedConnectionIsInvalidAnswer(t *testing.T) {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -459,7 +459,11 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
+		switch {
+		case resp.StatusCode < http.StatusContinue:
+			err := errors.Mark(errors.Newf("answer has the status %03d", resp.StatusCode), ErrInvalid)
+			return errors.Mark(err, ErrAnswerStarted)
+		case resp.StatusCode < http.StatusOK:
 			continue
 		}
 		if a.pool.cfg.OnHead != nil {
