Answers: share the checks after unframed ends, and wait for their results

- Parts still looked complete if the request's deadline cut the check off, or a pause of this VM did: an unknown state was believed.
The check's result is now waited for, up to the deadline, and an end without one is not believed.
A connection that is closed at once is tried again, and both are watched for 50 ms.
Answers that end at about the same time share one, and a server is checked once at a time.
Only the present entry counts, and a reset is no end.
- While links are cut, a check waited 0.4 s for a connection of its own; peers are asked at once.
- A move failed where the VM had as many connections open as it may: idle ones are closed for the order to stop.
- A model engine that was told to stop and came back under its id and address while this VM stood still passed for the one before; its report states its start.

Log lines of rejected ends state what the check met, and coltsfoot_gateway_unframed_ends_total counts the verdicts.

--- a/internal/coordination/movephase/movephase.go
+++ b/internal/coordination/movephase/movephase.go
@@ -395,13 +395,13 @@
 	return version != m.Target
 }
 
-// IsRetired reports whether a service no longer needs the given version: its newest move to
-// another one is done.
+// IsRetired reports whether a service no longer needs the given version: its newest move has
+// ended with the other one.
 func (t *Table) IsRetired(service, version string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.moves[service]
-	return ok && m.Phase == Done && version != m.Target
+	return ok && (m.Phase == Done && version != m.Target || m.Phase == RolledBack && version == m.Target)
 }
 
 // Newest returns a service's newest move.
--- a/internal/gateway/answerends.go
+++ b/internal/gateway/answerends.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,38 +17,52 @@
 // end is believed
 //
 //   - never, if the run may have been stopped by an order, or has reached its deadline;
-//   - if the server takes connections afterwards, where the server was told to stop;
+//   - if the server still takes connections afterwards, where it was told to stop;
 //   - unless the server has ended, where it was not.
 
 // confirmEnd decides whether the end x of an answer that has ended with its connection is
-// believed. If not, it sets x.err and x.isUnconfirmed.
+// believed. If not, it sets x.err and x.isEndRejected.
 func (a *attempt) confirmEnd(x *arrival) {
-	if x.isConfirmed || a.answer == nil || a.head.NotRun || a.answer.End() != upstream.EndOfConnection {
+	if x.isEndChecked || a.answer == nil || a.head.NotRun || a.answer.End() != upstream.EndOfConnection {
 		return
 	}
 	if a.q.isStreamAnswer(a.answer) && (x.partialBytes > 0 || !a.hasEvent) {
 		// The stream is incomplete in any case.
 		return
 	}
-	x.isConfirmed = true
+	x.isEndChecked = true
+	verdict := verdictBelieved
 	var err error
 	switch {
 	case a.isStopped():
-		err = errors.New("run was ordered to stop")
+		verdict, err = verdictStopped, errors.New("run was ordered to stop")
 	case a.timeLeft() <= 0:
-		err = errors.New("run has reached its deadline")
+		verdict, err = verdictLate, errors.New("run has reached its deadline")
 	default:
-		x.server = a.stateAfterEnd()
-		if x.server == serverEnded || x.server == serverLeaving {
-			err = errors.Wrapf(io.ErrUnexpectedEOF, "server is %s", x.server)
+		var checkErr error
+		x.server, checkErr = a.stateAfterEnd()
+		switch {
+		case x.server == serverEnded || x.server == serverLeaving:
+			verdict, err = verdictServerEnded, errors.Wrapf(io.ErrUnexpectedEOF, "server is %s (%v)", x.server, checkErr)
+		case a.timeLeft() <= 0:
+			verdict, err = verdictLate, errors.New("state of the server is not known at the deadline")
 		}
 	}
+	a.q.node.metrics.unframedEnds.WithLabelValues(a.q.service, verdict).Inc()
 	if err != nil {
-		x.isUnconfirmed = true
+		x.isEndRejected = true
 		x.err = errors.Wrap(err, "answer ended with its connection")
 	}
 }
 
+// Verdicts on the ends of answers that have ended with their connections, for metrics.
+const (
+	verdictBelieved    = "believed"
+	verdictStopped     = "run-stopped"
+	verdictLate        = "deadline"
+	verdictServerEnded = "server-ended"
+)
+
 // timeLeft returns the time in which an answer may still end by itself. The server stops its run
 // at the deadline.
 func (a *attempt) timeLeft() time.Duration {
@@ -54,45 +70,126 @@
 }
 
 // stateAfterEnd returns the state of the attempt's server after its answer has ended with its
-// connection. A server that was told to stop and is not seen to listen is serverLeaving.
-func (a *attempt) stateAfterEnd() serverState {
-	n, b := a.q.node, a.placed.server
-	ctx, cancel := context.WithTimeout(a.ctx, min(a.timeLeft(), serverCheckDelay+serverCheckTimeout))
+// connection, see endChecks.
+func (a *attempt) stateAfterEnd() (serverState, error) {
+	n, left := a.q.node, a.timeLeft()
+	ctx, cancel := context.WithTimeout(a.ctx, left)
 	defer cancel()
-	// A process that ends may close its connections before its listener. A plain answer is not
-	// held for that, unless there is a reason.
-	settle := time.Duration(0)
-	if a.q.isStreamAnswer(a.answer) || a.isToldToStop() {
-		sleep(ctx, serverCheckDelay)
-		settle = settleTime
+	isHeld := (a.q.isStreamAnswer(a.answer) || n.isToldToStop(a.placed)) && left > serverCheckDelay+serverCheckTimeout
+	return n.endChecks.state(ctx, a.placed, isHeld)
+}
+
+// isToldToStop reports whether a server was told to stop: it has announced that, its entry is
+// removed, its zone is evacuated, or its version is no longer needed.
+func (n *Node) isToldToStop(p *placedAttempt) bool {
+	return n.backends.isLeaving(p.server) || n.backends.isEvacuated(&p.info) || n.moves.table.IsRetired(p.info.Service, p.info.SoftwareVersion)
+}
+
+// endChecks determines the states of servers after answers that have ended with their
+// connections. Answers that end at about the same time share a check, and a server is checked
+// for them once at a time. It is safe for concurrent use.
+type endChecks struct {
+	node *Node
+
+	mu sync.Mutex
+	// waiting holds the checks that have not begun, running those that have.
+	waiting, running map[endCheckKey]*endCheck
+}
+
+// endCheckKey identifies a check. If isHeld is set, it begins after serverCheckDelay: a process
+// that ends may close its connections before its listener.
+type endCheckKey struct {
+	server *backend
+	isHeld bool
+}
+
+type endCheck struct {
+	// done is closed once state is valid.
+	done  chan struct{}
+	state serverState
+	// err is what the check met.
+	err error
+}
+
+func newEndChecks(n *Node) *endChecks {
+	return &endChecks{node: n, waiting: map[endCheckKey]*endCheck{}, running: map[endCheckKey]*endCheck{}}
+}
+
+// state returns the state of a server as of some time after the call, serverUnknown if ctx ends
+// before, and what the check met.
+func (c *endChecks) state(ctx context.Context, p *placedAttempt, isHeld bool) (serverState, error) {
+	key := endCheckKey{p.server, isHeld}
+	c.mu.Lock()
+	x := c.waiting[key]
+	if x == nil {
+		x = &endCheck{done: make(chan struct{})}
+		c.waiting[key] = x
+		go c.run(key, x, p)
+	}
+	c.mu.Unlock()
+	select {
+	case <-x.done:
+		return x.state, x.err
+	case <-ctx.Done():
+		return serverUnknown, ctx.Err()
+	}
+}
+
+func (c *endChecks) run(key endCheckKey, x *endCheck, p *placedAttempt) {
+	defer close(x.done)
+	if key.isHeld {
+		sleep(c.node.ctx, serverCheckDelay)
+	}
+	c.mu.Lock()
+	for previous := c.running[key]; previous != nil; previous = c.running[key] {
+		c.mu.Unlock()
+		<-previous.done
+		c.mu.Lock()
+	}
+	delete(c.waiting, key)
+	c.running[key] = x
+	c.mu.Unlock()
+	c.node.contain("end-check", func() { x.state, x.err = c.node.stateOf(p) })
+	c.mu.Lock()
+	delete(c.running, key)
+	c.mu.Unlock()
+}
+
+// isAnotherProcess reports whether a model engine states that its process started at another time
+// than that of p. This VM may have stood still while the engine started again.
+func (n *Node) isAnotherProcess(p *placedAttempt) bool {
+	if c := n.serviceConfig(p.server.service); c == nil || c.Model == nil || p.info.StartedAtMillis <= 0 {
+		return false
 	}
-	state := serverUnknown
+	report, err := n.fetchReport(n.ctx, p)
+	return err == nil && report.StartedAtMillis > 0 && report.StartedAtMillis != p.info.StartedAtMillis
+}
+
+// stateOf determines the state of a server. One that was told to stop and takes no connections is
+// serverLeaving.
+func (n *Node) stateOf(p *placedAttempt) (state serverState, err error) {
 	switch {
-	case a.isToldToStop():
-		// The end of such a server is no evidence about this VM's links.
-		if b.checkListening(ctx, settle) == nil {
+	case n.isToldToStop(p):
+		// What becomes of such a server is no evidence about this VM's links. One that closes
+		// connections at once, as if it had too many, has not ended.
+		if err = n.checkListening(p.server); err == nil || errors.IsAny(err, upstream.ErrClosedAtOnce, syscall.ECONNRESET) {
 			state = serverListening
+			if n.isAnotherProcess(p) {
+				state = serverEnded
+			}
+		}
+	case n.links.IsCut(p.server.service):
+		if s, ok := n.checkServerThroughPeer(p.server); ok {
+			state = s
 		}
 	default:
-		state = n.checkServer(ctx, b, settle)
+		state = n.checkServer(p.server)
 	}
 	switch {
-	case n.backends.hasRestarted(b):
-		return serverEnded
-	case state != serverListening && a.isToldToStop():
-		return serverLeaving
-	}
-	return state
-}
-
-// isToldToStop reports whether the attempt's server was told to stop: it has announced that, its
-// entry was removed, its zone is evacuated, or its version is no longer needed.
-func (a *attempt) isToldToStop() bool {
-	select {
-	case <-a.placed.server.departure.announced:
-		return true
-	default:
+	case n.backends.hasRestarted(p.server):
+		return serverEnded, err
+	case state != serverListening && n.isToldToStop(p):
+		return serverLeaving, err
 	}
-	n, info := a.q.node, &a.placed.info
-	return n.backends.isEvacuated(info) || n.moves.table.IsRetired(info.Service, info.SoftwareVersion)
+	return state, err
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,10 +35,10 @@
 	buffer *answerBuffer
 	// err is set if the answer can't be read to its end.
 	err error
-	// isConfirmed is set once the end of an answer that has ended with its connection was
-	// checked, isUnconfirmed if it is not believed. server is the server's state afterwards.
-	isConfirmed, isUnconfirmed bool
-	server                     serverState
+	// isEndChecked is set once the end of an answer that has ended with its connection was
+	// checked, isEndRejected if it is not believed. server is the server's state afterwards.
+	isEndChecked, isEndRejected bool
+	server                      serverState
 }
 
 const (
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -71,7 +71,7 @@
 	var reached atomic.Int32
 	for _, p := range draw(failed, peerChecks) {
 		checks.Go(func() {
-			if state, ok := n.checkServerThroughPeer(n.ctx, p.server); ok && state == serverNotChecked {
+			if state, ok := n.checkServerThroughPeer(p.server); ok && state == serverNotChecked {
 				reached.Add(1)
 			}
 		})
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// serverCheckDelay is the time between a lost attempt and the check whether its
-	// server still listens. A process that ends closes its connections before its
+	// serverCheckDelay is the time between the end of an answer, or a lost attempt, and the
+	// check whether its server still listens. A process that ends closes its connections before its
 	// listener.
 	serverCheckDelay = 100 * time.Millisecond
 	// serverCheckTimeout bounds the check.
@@ -110,11 +110,11 @@
 	sleep(n.ctx, serverCheckDelay)
 	state := serverLeaving
 	if !n.backends.isLeaving(b) {
-		state = n.checkServer(n.ctx, b, settleTime)
+		state = n.checkServer(b)
 		wasCut := n.links.IsCut(b.service)
 		n.awaitLinkCheck(b.service)
 		if !wasCut && n.links.IsCut(b.service) {
-			state = n.checkServer(n.ctx, b, settleTime)
+			state = n.checkServer(b)
 		}
 	}
 	// An announcement or a restart may have been read during the check.
@@ -137,15 +137,11 @@
 	}
 }
 
-// checkServer determines the state of a server. A connection that is refused, or closed within
-// the time settle, may be due to this VM's links, so that a peer decides whether the server has
-// ended.
-func (n *Node) checkServer(ctx context.Context, b *backend, settle time.Duration) serverState {
+// checkServer determines the state of a server. A connection that is refused, or closed at
+// once, may be due to this VM's links, so that a peer decides whether the server has ended.
+func (n *Node) checkServer(b *backend) serverState {
 	startedAt := n.now()
-	err := b.checkListening(ctx, settle)
-	if ctx.Err() != nil {
-		return serverUnknown
-	}
+	err := n.checkListening(b)
 	if err == nil && !n.links.IsCut(b.service) {
 		return serverListening
 	}
@@ -153,7 +149,7 @@
 		n.recordLinkFailure(b, startedAt)
 		return serverUnknown
 	}
-	state, ok := n.checkServerThroughPeer(ctx, b)
+	state, ok := n.checkServerThroughPeer(b)
 	switch {
 	case ok && (state == serverEnded || state == serverUnknown && !errors.Is(err, upstream.ErrClosedAtOnce)):
 		return state
@@ -169,17 +165,22 @@
 	return serverResetting
 }
 
-// checkListening is Pool.CheckListening with serverCheckTimeout.
-func (b *backend) checkListening(ctx context.Context, settle time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
+// checkListening returns nil if a server takes a connection and leaves it open.
+func (n *Node) checkListening(b *backend) error {
+	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
 	defer cancel()
-	return b.pool.CheckListening(ctx, settle)
+	err := b.pool.CheckListening(ctx, settleTime)
+	if errors.IsAny(err, upstream.ErrClosedAtOnce, syscall.ECONNRESET) {
+		// A process that ends may close its connections before its listener.
+		err = b.pool.CheckListening(ctx, settleTime)
+	}
+	return err
 }
 
 // checkServerThroughPeer determines the state of a server as seen from a peer, and false if
 // none can tell. A server that the peer reaches has not ended.
-func (n *Node) checkServerThroughPeer(ctx context.Context, b *backend) (state serverState, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
+func (n *Node) checkServerThroughPeer(b *backend) (state serverState, ok bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
 	defer cancel()
 	connection, err := n.tunnels.connect(ctx, n.backends.unplaced(b))
 	switch {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	searches           *prometheus.CounterVec
 	relocations        *prometheus.CounterVec
 	runStops           *prometheus.CounterVec
+	unframedEnds       *prometheus.CounterVec
 	platformCalls      *prometheus.CounterVec
 	contentLosses      *prometheus.CounterVec
 	contentRefusals    *prometheus.CounterVec
@@ -80,7 +81,8 @@
 		}, []string{"route", "service", "part"}),
 		attempts:        counter("attempts_total", "Attempts on backend servers by service and end.", "service", "end"),
 		relocations:     counter("relocations_total", "Streams on reclaimable servers that leave, by service and what became of their move to another server.", "service", "end"),
-		runStops:        counter("run_stops_total", "Orders to stop a stream's run on a server that leaves, by service and state: stopped, rejected, unanswered, not-sent.", "service", "state"),
+		runStops:        counter("run_stops_total", "Orders to stop a stream's run on a server that leaves, by service and state: answered, rejected, unanswered, not-sent.", "service", "state"),
+		unframedEnds:    counter("unframed_ends_total", "Answers without length or chunks that ended with their connections, by service and verdict on that end: believed, run-stopped, server-ended, deadline.", "service", "verdict"),
 		answerEnds:      counter("answer_ends_total", "Answers of backend servers by service, framing and end.", "service", "framing", "end"),
 		searches:        counter("replacement_searches_total", "Searches for another server while an attempt was silent, by service and end.", "service", "end"),
 		platformCalls:   counter("platform_calls_total", "Calls to the platform by call and outcome.", "call", "outcome"),
@@ -142,7 +144,7 @@
 			Name: "coltsfoot_gateway_caller_connections", Help: "Open connections of callers, by listener.",
 		}, []string{"listener"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.longPauses, m.answerSeconds, m.predictionError, m.attempts, m.answerEnds, m.searches, m.relocations, m.runStops, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
+	m.registry.MustRegister(m.requests, m.firstAnswerSeconds, m.longPauses, m.answerSeconds, m.predictionError, m.attempts, m.answerEnds, m.searches, m.relocations, m.runStops, m.unframedEnds, m.platformCalls, m.contentLosses, m.contentRefusals, m.contentTrials, m.contents, m.partRefusals, m.promptParts, m.undecodableRecords, m.announcements, m.healthVerdicts, m.duties,
 		m.openRequests, m.documentVersion, m.storeEra, m.readsLeft, m.permits, m.serverLimits, m.utilizationLimit, m.panics, m.brittleServers, m.evacuatedZones, m.coldServers, m.diverted, m.tunnels, m.servedTunnels, m.linksCut, m.confirmationAge, m.restorations, m.backendServers, m.members, m.droppedLines, m.refusedConnections, m.callerMemory, m.callerConnections, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -105,6 +105,7 @@
 	clock            *wallClock
 	work             *workMeter
 	serverChecks     *serverChecks
+	endChecks        *endChecks
 	checks           *checkSlots
 	answerMemory     *answerMemory
 	callerBudget     httpserver.Budget
@@ -187,6 +188,7 @@
 	n.peerPool = peer.NewPool()
 	n.duties = newDuties(n)
 	n.serverChecks = newServerChecks(n)
+	n.endChecks = newEndChecks(n)
 	n.checks = newCheckSlots()
 	n.answerMemory = newAnswerMemory(&settings)
 	n.callerBudget = callerBudget(&settings)
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -372,7 +372,7 @@
 	state := stopStateOf(err, isAnswered)
 	order.set(state)
 	n.metrics.runStops.WithLabelValues(a.placed.server.service, state.String()).Inc()
-	n.log.Event("relocation", "stop-ordered", "id", a.q.call.ID, "server", a.placed.server.id, "to", p.server.id, "state", state, "copy", c, "took", n.now().Sub(sentAt))
+	n.log.Event("relocation", "stop-ordered", "id", a.q.call.ID, "server", a.placed.server.id, "to", p.server.id, "state", state, "copy", c, "error", err, "took", n.now().Sub(sentAt))
 	return c, isComplete, err
 }
 
@@ -390,7 +390,13 @@
 	var connection *upstream.Connection
 	if final {
 		// A connection that was used before may still deliver a second copy of an answer.
-		if connection, err = a.placed.server.pool.Connect(ctx, nil); err != nil {
+		pool := a.placed.server.pool
+		connection, err = pool.Connect(ctx, nil)
+		if errors.Is(err, upstream.ErrConnectionLimit) {
+			pool.CloseIdle()
+			connection, err = pool.Connect(ctx, nil)
+		}
+		if err != nil {
 			return platform.MemoryCopy{}, false, false, err
 		}
 	}
--- a/internal/gateway/runstop.go
+++ b/internal/gateway/runstop.go
@@ -23,11 +23,12 @@
 	stopUnanswered
 	// stopRejected means that the server has stated that the order changed nothing.
 	stopRejected
-	// stopCarriedOut means that the server has answered otherwise, and stopped the run.
-	stopCarriedOut
+	// stopAnswered means that the server has answered otherwise: it has stopped the run, or may
+	// have.
+	stopAnswered
 )
 
-var stopStateNames = [...]string{"not-sent", "sent", "unanswered", "rejected", "stopped"}
+var stopStateNames = [...]string{"not-sent", "sent", "unanswered", "rejected", "answered"}
 
 func (s stopState) String() string { return stopStateNames[s] }
 
@@ -53,7 +54,7 @@
 	case errors.IsAny(err, platform.ErrNoSuchRun, platform.ErrOtherEngine):
 		return stopRejected
 	}
-	return stopCarriedOut
+	return stopAnswered
 }
 
 // isStopped reports whether the attempt's server may have stopped its run on an order.
@@ -63,7 +64,7 @@
 			continue
 		}
 		switch s.get() {
-		case stopSent, stopUnanswered, stopCarriedOut:
+		case stopSent, stopUnanswered, stopAnswered:
 			return true
 		}
 	}
--- a/internal/gateway/stopped_stream_test.go
+++ b/internal/gateway/stopped_stream_test.go
@@ -168,6 +168,8 @@
 	runs map[string]*stoppableRun
 	// orders counts the last moves that are being carried out.
 	orders int
+	// destinations holds the addresses of the engines that have room for copies.
+	destinations map[string]bool
 }
 
 // stopTrials numbers the trials.
@@ -226,16 +228,22 @@
 
 func (e *stoppingEngine) move(w http.ResponseWriter, r *http.Request, body []byte) {
 	var call struct {
-		ID   string `json:"id"`
-		Last bool   `json:"last"`
+		ID     string `json:"id"`
+		Target string `json:"target"`
+		Last   bool   `json:"last"`
 	}
 	if err := json.Unmarshal(body, &call); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	e.mu.Lock()
-	run := e.runs[call.ID]
+	run, hasRoom := e.runs[call.ID], e.destinations[call.Target]
 	e.mu.Unlock()
+	if !hasRoom {
+		// The node may not know yet that the target leaves too.
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case <-run.done:
 		w.WriteHeader(http.StatusNotFound)
@@ -556,7 +564,7 @@
 // playStopsOnce plays cases at the same time, on engines that all announce their end once each
 // request runs.
 func playStopsOnce(t *testing.T, cases []*stopCase) []stopResult {
-	s := &stopTrial{fixture: newFixture(t), number: stopTrials.Add(1), ended: make(chan struct{}), runs: map[string]*stoppableRun{}}
+	s := &stopTrial{fixture: newFixture(t), number: stopTrials.Add(1), ended: make(chan struct{}), runs: map[string]*stoppableRun{}, destinations: map[string]bool{}}
 	s.store.Put(platform.OperatorTopic, platform.DocumentKey, []byte(stoppingDocument))
 	sources := len(cases)/2 + 1
 	for i := range sources {
@@ -601,7 +609,10 @@
 		return true
 	})
 	for i := range 2 {
-		s.startEngine(fmt.Sprintf("destination-%d-%d", s.number, i))
+		e := s.startEngine(fmt.Sprintf("destination-%d-%d", s.number, i))
+		s.mu.Lock()
+		s.destinations[e.address()] = true
+		s.mu.Unlock()
 	}
 	s.eventually("destinations are known", func() bool { return n.backends.count() == sources+2 })
 	for _, e := range s.engines[:sources] {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -156,7 +156,7 @@
 	case a.answer.End() == upstream.EndNotSeen:
 	case x.partialBytes > 0:
 		err = errEndInEvent
-	case x.isUnconfirmed:
+	case x.isEndRejected:
 	case !a.hasEvent && a.answer.End() == upstream.EndOfConnection:
 		err = errors.New("stream ended without a length or an event")
 	default:
--- a/internal/gateway/tunnel_server.go
+++ b/internal/gateway/tunnel_server.go
@@ -186,12 +186,6 @@
 // isLinkSuspect reports whether this VM's link to a server that has reset a connection may be cut:
 // the server neither refuses connections, as it does once it has ended, nor keeps one open.
 func (n *Node) isLinkSuspect(b *backend) bool {
-	ctx, cancel := context.WithTimeout(n.ctx, serverCheckTimeout)
-	defer cancel()
-	err := b.pool.CheckListening(ctx, settleTime)
-	if errors.Is(err, upstream.ErrClosedAtOnce) {
-		// A process that ends may close its connections before its listener.
-		err = b.pool.CheckListening(ctx, settleTime)
-	}
+	err := n.checkListening(b)
 	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
 }
