Fault soak: scenario relocation

Reclaimable servers announce their end and leave in order, by reset or silently, others start in their place, calls that move their runs fail, beside faults of nodes and of the store. An answer that looks complete must be whole.

--- a/internal/faultlab/faultlab.go
+++ b/internal/faultlab/faultlab.go
@@ -118,6 +118,10 @@
 	recorder  *recorder
 	output    io.Writer
 	startedAt time.Time
+	// stream holds all events of the servers' streams.
+	stream string
+	// prepareServer, if set, is called with each server before it is registered.
+	prepareServer func(plan serverPlan, s *platformtest.Server, p *proxy)
 
 	// restoring is locked while the store comes back from a copy.
 	restoring sync.Mutex
@@ -129,7 +133,7 @@
 }
 
 func runRound(ctx context.Context, o Options, seed uint64, out io.Writer) (*report, error) {
-	c := &cluster{options: o, seed: seed, random: rand.New(rand.NewPCG(seed, 77)), recorder: newRecorder(), output: out, startedAt: time.Now()}
+	c := &cluster{options: o, seed: seed, random: rand.New(rand.NewPCG(seed, 77)), recorder: newRecorder(), output: out, startedAt: time.Now(), stream: completeStream()}
 	c.scenario = scenarios[o.Scenario](c)
 	defer c.close()
 	if err := c.start(); err != nil {
@@ -196,12 +200,21 @@
 	restartAfter      time.Duration
 }
 
-// addServer starts a backend server behind a proxy.
+// addServer starts a backend server behind a proxy and registers it.
 func (c *cluster) addServer(plan serverPlan) error {
+	s, p, err := c.startServer(plan)
+	if err == nil {
+		c.store.Put(platform.ServersTopic, plan.id, s.RegistrationAt(p.address(), plan.service, plan.zone, "ready"))
+	}
+	return err
+}
+
+// startServer starts a backend server behind a proxy.
+func (c *cluster) startServer(plan serverPlan) (*platformtest.Server, *proxy, error) {
 	s := platformtest.NewServer(plan.id, c.scenario.behavior(plan.id))
 	p, err := newProxy(s.Address())
 	if err != nil {
-		return errors.Wrap(err, "start the proxy of a backend server")
+		return nil, nil, errors.Wrap(err, "start the proxy of a backend server")
 	}
 	s.RestartAfter = plan.restartAfter
 	s.OnCrash = p.refuse
@@ -212,8 +225,10 @@
 		c.register(plan.id, s.RegistrationAt(p.address(), plan.service, plan.zone, "ready"))
 	}
 	c.servers, c.proxies, c.plans = append(c.servers, s), append(c.proxies, p), append(c.plans, plan)
-	c.store.Put(platform.ServersTopic, plan.id, s.RegistrationAt(p.address(), plan.service, plan.zone, "ready"))
-	return nil
+	if c.prepareServer != nil {
+		c.prepareServer(plan, s, p)
+	}
+	return s, p, nil
 }
 
 func zoneName(i int) string { return fmt.Sprint("zone-", i%zoneCount) }
--- a/internal/faultlab/faultlab_test.go
+++ b/internal/faultlab/faultlab_test.go
@@ -120,3 +120,14 @@
 	// 3: a call that was made just before the store's return held back what followed it.
 	runSeed(t, Options{Seed: 3, Processes: 4, Scenario: ScenarioOutages, Binary: buildGateway(t), RoundDuration: 20 * time.Second})
 }
+
+// TestServersLeaveWithTheirRuns runs short rounds of ScenarioRelocation.
+func TestServersLeaveWithTheirRuns(t *testing.T) {
+	t.Parallel()
+	binary := buildGateway(t)
+	// 1, 3: answers without length or chunks looked complete whose run had been stopped as
+	// ordered, or whose server had ended in order.
+	for _, seed := range []uint64{1, 3} {
+		runSeed(t, Options{Seed: seed, Processes: 4, Scenario: ScenarioRelocation, Binary: binary, RoundDuration: 15 * time.Second})
+	}
+}
--- a/internal/faultlab/verify.go
+++ b/internal/faultlab/verify.go
@@ -211,7 +211,7 @@
 func (c *cluster) isWhole(e exchange) bool {
 	whole := func(body string) bool { return strings.HasSuffix(body, " to "+e.request.ID) }
 	if isStream(e.request.Path) {
-		whole = func(body string) bool { return body == completeStream() }
+		whole = func(body string) bool { return body == c.stream }
 	}
 	if whole(e.result.Body) {
 		return true
