Answers: a model engine that listens after an unframed end must be the same process

The check found it listening, and the caller got a part as a complete answer.

The engine's report, asked for on a new connection, must state the start that its entry does. Plain services have no report: open.

--- a/internal/gateway/answerends.go
+++ b/internal/gateway/answerends.go
@@ -161,7 +161,13 @@
 	if c := n.serviceConfig(p.server.service); c == nil || c.Model == nil || p.info.StartedAtMillis <= 0 {
 		return false
 	}
-	report, err := n.fetchReport(n.ctx, p)
+	ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
+	defer cancel()
+	connection, err := p.server.pool.Connect(ctx, nil)
+	if err != nil {
+		return false
+	}
+	report, err := n.fetchReport(ctx, p, connection)
 	return err == nil && report.StartedAtMillis > 0 && report.StartedAtMillis != p.info.StartedAtMillis
 }
 
@@ -174,9 +180,6 @@
 		// connections at once, as if it had too many, has not ended.
 		if err = n.checkListening(p.server); err == nil || errors.IsAny(err, upstream.ErrClosedAtOnce, syscall.ECONNRESET) {
 			state = serverListening
-			if n.isAnotherProcess(p) {
-				state = serverEnded
-			}
 		}
 	case n.links.IsCut(p.server.service):
 		if s, ok := n.checkServerThroughPeer(p.server); ok {
@@ -186,7 +189,7 @@
 		state = n.checkServer(p.server)
 	}
 	switch {
-	case n.backends.hasRestarted(p.server):
+	case n.backends.hasRestarted(p.server) || state == serverListening && n.isAnotherProcess(p):
 		return serverEnded, err
 	case state != serverListening && n.isToldToStop(p):
 		return serverLeaving, err
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -118,7 +118,7 @@
 			sleep(ctx, reportInterval)
 		}
 		var err error
-		if report, err = n.fetchReport(ctx, p); err != nil {
+		if report, err = n.fetchReport(ctx, p, nil); err != nil {
 			n.log.Failure("relocation", "no-report", "server", p.server.id, "error", err)
 		}
 		if report.HasLeaves || n.backends.hasAnnouncedEnd(p.server) || ctx.Err() != nil {
@@ -128,10 +128,10 @@
 	return report
 }
 
-func (n *Node) fetchReport(ctx context.Context, p *placedAttempt) (platform.Report, error) {
+func (n *Node) fetchReport(ctx context.Context, p *placedAttempt, connection *upstream.Connection) (platform.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	status, body, err := n.callEngine(ctx, p.server, nil, http.MethodGet, platform.AppendReport(nil, p.info.Address, p.server.id), nil)
+	status, body, err := n.callEngine(ctx, p.server, connection, http.MethodGet, platform.AppendReport(nil, p.info.Address, p.server.id), nil)
 	switch {
 	case err != nil:
 		return platform.Report{}, err
