Answers: reject unframed ends after which nobody reaches the server

- An end that joined a check which was about to begin had no delay: a process that closes its listener after its connections was found listening (TestStreamCutWhileCheckWaitsLooksComplete, 3 of 3).
Each end now waits by itself, and the check that begins next is shared.
- A server whose host is gone after it closed its connections in order answers neither this VM nor its peers, and that counted as life (TestAnswerCutByHostThatGoesLooksComplete, 4 of 4 cases); the same for a node that stops during the check (TestAnswerCutBeforeNodeStopsLooksComplete, 5 of 80).
If this VM gets no answer, a peer is asked; an end after which the server's state stays unknown is not believed.
- Plain answers, which are not held, were counted as answers of their content before the end of a process could be seen.
They are checked again for that.
- A VM that became the lease holder after it had started during a move stated `done` late, by its own time since the order.
The time since it knows of `done` counts too.

--- a/internal/coordination/movephase/movephase.go
+++ b/internal/coordination/movephase/movephase.go
@@ -95,7 +95,8 @@
 	ExposedSlack    float64
 	// ShiftAfter and DoneAfter are the fractions of the allowed time after which
 	// the move may enter the phases Shift and Done. StateAfter is the one after which a
-	// move that is done is stated although requests still run on the old version.
+	// move that is done is stated although requests still run on the old version, also if a VM
+	// has known it to be done for the time from DoneAfter to StateAfter.
 	ShiftAfter, DoneAfter, StateAfter float64
 	// The shift requires MinAnswers of the new version, or ReducedMinAnswers
 	// once the fraction ReduceAfter of the time has passed.
@@ -244,9 +245,11 @@
 
 // MayState reports whether the operator may be told of a move's phase p. The operator stops the
 // servers of the old version once it is told that the move is done. isOldIdle is true if no
-// request runs on them and no VM sends any.
-func (c Config) MayState(p Phase, isOldIdle bool, elapsed, timeLimit time.Duration) bool {
-	return p != Done || isOldIdle || float64(elapsed) >= c.StateAfter*float64(timeLimit)
+// request runs on them and no VM sends any. elapsed is the time since the order, and sinceDone that
+// since this VM knows that the move is done.
+func (c Config) MayState(p Phase, isOldIdle bool, elapsed, sinceDone, timeLimit time.Duration) bool {
+	limit := float64(timeLimit)
+	return p != Done || isOldIdle || float64(elapsed) >= c.StateAfter*limit || float64(sinceDone) >= (c.StateAfter-c.DoneAfter)*limit
 }
 
 // Share returns the share of requests that the new version gets in phase p.
--- a/internal/gateway/answerends.go
+++ b/internal/gateway/answerends.go
@@ -18,7 +18,7 @@
 //
 //   - never, if the run may have been stopped by an order, or has reached its deadline;
 //   - if the server still takes connections afterwards, where it was told to stop;
-//   - unless the server has ended, where it was not.
+//   - unless the server has ended or nobody reaches it, where it was not.
 
 // confirmEnd decides whether the end x of an answer that has ended with its connection is
 // believed. If not, it sets x.err and x.isEndRejected.
@@ -40,10 +40,10 @@
 		verdict, err = verdictLate, errors.New("run has reached its deadline")
 	default:
 		var checkErr error
-		x.server, checkErr = a.stateAfterEnd()
+		x.server, x.isEndHeld, checkErr = a.stateAfterEnd()
 		switch {
-		case x.server == serverEnded || x.server == serverLeaving:
-			verdict, err = verdictServerEnded, errors.Wrapf(io.ErrUnexpectedEOF, "server is %s (%v)", x.server, checkErr)
+		case x.server == serverEnded || x.server == serverLeaving || x.server == serverUnknown && a.timeLeft() > 0:
+			verdict, err = verdictServerEnded, errors.Wrapf(errors.CombineErrors(io.ErrUnexpectedEOF, checkErr), "state of the server is %s", x.server)
 		case a.timeLeft() <= 0:
 			verdict, err = verdictLate, errors.New("state of the server is not known at the deadline")
 		}
@@ -70,13 +70,18 @@
 }
 
 // stateAfterEnd returns the state of the attempt's server after its answer has ended with its
-// connection, see endChecks.
-func (a *attempt) stateAfterEnd() (serverState, error) {
+// connection, whether that is its state serverCheckDelay later, and what the check met. A process
+// that ends may close its connections before its listener.
+func (a *attempt) stateAfterEnd() (state serverState, isHeld bool, err error) {
 	n, left := a.q.node, a.timeLeft()
 	ctx, cancel := context.WithTimeout(a.ctx, left)
 	defer cancel()
-	isHeld := (a.q.isStreamAnswer(a.answer) || n.isToldToStop(a.placed)) && left > serverCheckDelay+serverCheckTimeout
-	return n.endChecks.state(ctx, a.placed, isHeld)
+	isHeld = (a.q.isStreamAnswer(a.answer) || n.isToldToStop(a.placed)) && left > serverCheckDelay+serverCheckTimeout
+	if isHeld {
+		sleep(ctx, serverCheckDelay)
+	}
+	state, err = n.endChecks.state(ctx, a.placed)
+	return state, isHeld, err
 }
 
 // isToldToStop reports whether a server was told to stop: it has announced that, its entry is
@@ -86,21 +91,14 @@
 }
 
 // endChecks determines the states of servers after answers that have ended with their
-// connections. Answers that end at about the same time share a check, and a server is checked
-// for them once at a time. It is safe for concurrent use.
+// connections. A server is checked once at a time, and answers that end meanwhile share the next
+// check. It is safe for concurrent use.
 type endChecks struct {
 	node *Node
 
 	mu sync.Mutex
 	// waiting holds the checks that have not begun, running those that have.
-	waiting, running map[endCheckKey]*endCheck
-}
-
-// endCheckKey identifies a check. If isHeld is set, it begins after serverCheckDelay: a process
-// that ends may close its connections before its listener.
-type endCheckKey struct {
-	server *backend
-	isHeld bool
+	waiting, running map[*backend]*endCheck
 }
 
 type endCheck struct {
@@ -112,19 +110,18 @@
 }
 
 func newEndChecks(n *Node) *endChecks {
-	return &endChecks{node: n, waiting: map[endCheckKey]*endCheck{}, running: map[endCheckKey]*endCheck{}}
+	return &endChecks{node: n, waiting: map[*backend]*endCheck{}, running: map[*backend]*endCheck{}}
 }
 
 // state returns the state of a server as of some time after the call, serverUnknown if ctx ends
 // before, and what the check met.
-func (c *endChecks) state(ctx context.Context, p *placedAttempt, isHeld bool) (serverState, error) {
-	key := endCheckKey{p.server, isHeld}
+func (c *endChecks) state(ctx context.Context, p *placedAttempt) (serverState, error) {
 	c.mu.Lock()
-	x := c.waiting[key]
+	x := c.waiting[p.server]
 	if x == nil {
 		x = &endCheck{done: make(chan struct{})}
-		c.waiting[key] = x
-		go c.run(key, x, p)
+		c.waiting[p.server] = x
+		go c.run(x, p)
 	}
 	c.mu.Unlock()
 	select {
@@ -135,23 +132,20 @@
 	}
 }
 
-func (c *endChecks) run(key endCheckKey, x *endCheck, p *placedAttempt) {
+func (c *endChecks) run(x *endCheck, p *placedAttempt) {
 	defer close(x.done)
-	if key.isHeld {
-		sleep(c.node.ctx, serverCheckDelay)
-	}
 	c.mu.Lock()
-	for previous := c.running[key]; previous != nil; previous = c.running[key] {
+	for previous := c.running[p.server]; previous != nil; previous = c.running[p.server] {
 		c.mu.Unlock()
 		<-previous.done
 		c.mu.Lock()
 	}
-	delete(c.waiting, key)
-	c.running[key] = x
+	delete(c.waiting, p.server)
+	c.running[p.server] = x
 	c.mu.Unlock()
 	c.node.contain("end-check", func() { x.state, x.err = c.node.stateOf(p) })
 	c.mu.Lock()
-	delete(c.running, key)
+	delete(c.running, p.server)
 	c.mu.Unlock()
 }
 
@@ -181,16 +175,20 @@
 		if err = n.checkListening(p.server); err == nil || errors.IsAny(err, upstream.ErrClosedAtOnce, syscall.ECONNRESET) {
 			state = serverListening
 		}
-	case n.links.IsCut(p.server.service):
-		if s, ok := n.checkServerThroughPeer(p.server); ok {
-			state = s
-		}
 	default:
-		state = n.checkServer(p.server)
+		if !n.links.IsCut(p.server.service) {
+			state = n.checkServer(p.server)
+		}
+		if state == serverUnknown {
+			// A peer may reach the server.
+			if s, ok := n.checkServerThroughPeer(p.server); ok {
+				state = s
+			}
+		}
 	}
 	switch {
 	case n.backends.hasRestarted(p.server) || state == serverListening && n.isAnotherProcess(p):
-		return serverEnded, err
+		return serverEnded, errors.New("another process has its id")
 	case state != serverListening && n.isToldToStop(p):
 		return serverLeaving, err
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,9 +36,10 @@
 	// err is set if the answer can't be read to its end.
 	err error
 	// isEndChecked is set once the end of an answer that has ended with its connection was
-	// checked, isEndRejected if it is not believed. server is the server's state afterwards.
-	isEndChecked, isEndRejected bool
-	server                      serverState
+	// checked, isEndRejected if it is not believed. server is the server's state afterwards,
+	// serverCheckDelay later if isEndHeld is set.
+	isEndChecked, isEndRejected, isEndHeld bool
+	server                                 serverState
 }
 
 const (
--- a/internal/gateway/moves.go
+++ b/internal/gateway/moves.go
@@ -330,7 +330,11 @@
 				"new-sent", e.NewSent, "old-sent", e.OldSent, "new", e.NewAnswers, "new-bad", e.NewFailures, "new-timed", e.NewTimed, "new-slow", e.NewSlow,
 				"old", e.OldAnswers, "old-bad", e.OldFailures, "old-timed", e.OldTimed, "old-slow", e.OldSlow, "after", now.Sub(m.ReceivedAt))
 		}
-		if movephase.DefaultConfig.MayState(next, v.isOldVersionIdle(m, now), now.Sub(m.ReceivedAt), m.TimeLimit) {
+		sinceDone := time.Duration(0)
+		if m.Phase == movephase.Done {
+			sinceDone = now.Sub(m.EndedAt)
+		}
+		if movephase.DefaultConfig.MayState(next, v.isOldVersionIdle(m, now), now.Sub(m.ReceivedAt), sinceDone, m.TimeLimit) {
 			v.publishStatus(ctx, m, next)
 		}
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -179,10 +179,26 @@
 }
 
 // recordAnswer records that the server answered the request completely. An answer that ended
-// with its connection counts only if the server is known to live on.
+// with its connection counts only if the server is known to live on serverCheckDelay later.
 func (a *attempt) recordAnswer(x arrival) {
-	if a.answer.End() != upstream.EndOfConnection || x.server == serverListening {
+	switch {
+	case a.answer.End() != upstream.EndOfConnection || x.server == serverListening && x.isEndHeld:
 		a.q.recordAnswer()
+	case x.server == serverListening:
+		go a.q.node.contain("end-check", a.recordCheckedAnswer)
+	}
+}
+
+// recordCheckedAnswer checks the server again, and records the answer or the loss.
+func (a *attempt) recordCheckedAnswer() {
+	q, n := a.q, a.q.node
+	at := n.now()
+	sleep(n.ctx, serverCheckDelay)
+	switch state, _ := n.endChecks.state(n.ctx, a.placed); state {
+	case serverListening:
+		q.recordAnswer()
+	case serverEnded:
+		n.serverChecks.add(a.placed.server, loss{requestID: q.call.ID, content: q.content, parts: q.parts, outcome: outcomeAnswered, disconnected: true, at: at})
 	}
 }
 
