--- a/internal/gateway/answerends.go
+++ b/internal/gateway/answerends.go
@@ -43,7 +43,7 @@
 		x.server, x.isEndHeld, checkErr = a.stateAfterEnd()
 		switch {
 		case x.server == serverEnded || x.server == serverLeaving || x.server == serverUnknown && a.timeLeft() > 0:
-			verdict, err = verdictServerEnded, errors.Wrapf(errors.CombineErrors(io.ErrUnexpectedEOF, checkErr), "state of the server is %s", x.server)
+			verdict, err = verdictServerEnded, errors.Wrapf(io.ErrUnexpectedEOF, "state of the server is %s", describeState(x.server, checkErr))
 		case a.timeLeft() <= 0:
 			verdict, err = verdictLate, errors.New("state of the server is not known at the deadline")
 		}
@@ -55,6 +55,14 @@
 	}
 }
 
+// describeState formats a server's state and what its check met, if that is an error.
+func describeState(state serverState, err error) string {
+	if err == nil {
+		return state.String()
+	}
+	return state.String() + ", " + err.Error()
+}
+
 // Verdicts on the ends of answers that have ended with their connections, for metrics.
 const (
 	verdictBelieved    = "believed"
@@ -188,7 +196,7 @@
 	}
 	switch {
 	case n.backends.hasRestarted(p.server) || state == serverListening && n.isAnotherProcess(p):
-		return serverEnded, errors.New("another process has its id")
+		return serverEnded, errors.New("another process has taken its place")
 	case state != serverListening && n.isToldToStop(p):
 		return serverLeaving, err
 	}
