--- /dev/null
+++ b/internal/gateway/invalid_answer_test.go
@@ -0,0 +1,415 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootpath.example/coltsfootpath/platform"
+	"coltsfootpath.example/coltsfootpath/platform/platformtest"
+)
+
+// wireHead is the head of an answer with its body, before it is broken.
+type wireHead struct {
+	status  string
+	fields  []string
+	framing string
+	body    string
+}
+
+// encode returns the answer's bytes.
+func (h wireHead) encode() string {
+	head := "HTTP/1.1 " + h.status + "\r\n" + strings.Join(h.fields, "\r\n") + "\r\n"
+	switch h.framing {
+	case "length":
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(h.body), h.body)
+	case "chunks":
+		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(h.body), h.body)
+	}
+	return head + "\r\n" + h.body
+}
+
+// invalidAnswer is a way in which an answer breaks RFC 9112.
+type invalidAnswer struct {
+	name string
+	// framing is the only one to which the case applies, empty if it applies to each.
+	framing string
+	// closes is set if the server closes the connection after the answer. It does so in any case
+	// after one without framing.
+	closes bool
+	// encode returns the bytes of the answer.
+	encode func(h wireHead) string
+}
+
+// withReplaced returns the answer with a part of its bytes replaced.
+func withReplaced(old, replacement string) func(wireHead) string {
+	return func(h wireHead) string { return strings.Replace(h.encode(), old, replacement, 1) }
+}
+
+// withLine returns the answer with a line before its first field.
+func withLine(line string) func(wireHead) string {
+	return func(h wireHead) string {
+		h.fields = append([]string{line}, h.fields...)
+		return h.encode()
+	}
+}
+
+// after returns the answer after other bytes.
+func after(bytes string) func(wireHead) string {
+	return func(h wireHead) string { return bytes + h.encode() }
+}
+
+const (
+	length, chunks = "length", "chunks"
+	otherAnswer    = "HTTP/1.1 200 OK\r\nColtsfootpath-Request-Id: other\r\nServer-Leaving: 1\r\nX Note: v\r\nContent-Length: 1\r\n\r\nx"
+)
+
+// invalidAnswers are answers whose heads, chunks or trailers RFC 9112 does not allow.
+var invalidAnswers = []invalidAnswer{
+	{"blank after a name", "", false, withLine("X-Note : v")},
+	{"blank in a name", "", false, withLine("X Note: v")},
+	{"tab in a name", "", false, withLine("X\tNote: v")},
+	{"control byte in a name", "", false, withLine("X\x01Note: v")},
+	{"delete byte in a name", "", false, withLine("X\x7fNote: v")},
+	{"separator in a name", "", false, withLine("X(Note): v")},
+	{"letter outside ASCII in a name", "", false, withLine("X\xe9Note: v")},
+	{"no name", "", false, withLine(": v")},
+	{"no colon", "", false, withLine("garbage")},
+	{"control byte in a value", "", false, withLine("X-Note: a\x00b")},
+	{"line that begins with a blank", "", false, withReplaced("X-Own: own\r\n", "X-Own: own\r\n Content-Note: v\r\n")},
+	{"first line that begins with a blank", "", false, withLine(" X-Note: v")},
+	{"line that ends without CR", "", false, withReplaced("X-Own: own\r\n", "X-Own: own\nContent-Note: v\r\n")},
+	{"line that ends with two CR", "", false, withLine("X-Note: v\r")},
+	{"blank after the name of the seal", "", false, withLine("Coltsfootpath-Engine-Seal : seal")},
+	{"blank after Content-Length", length, true, withReplaced("Content-Length:", "Content-Length :")},
+	{"blank in Content-Length", length, true, withReplaced("Content-Length:", "Content Length:")},
+	{"blank before Content-Length", length, true, withReplaced("Content-Length:", " Content-Length:")},
+	{"blank after Transfer-Encoding", chunks, true, withReplaced("Transfer-Encoding:", "Transfer-Encoding :")},
+	{"blank before Transfer-Encoding", chunks, true, withReplaced("Transfer-Encoding:", "\tTransfer-Encoding:")},
+	{"blank after Transfer-Encoding beside a length", length, false, withLine("Transfer-Encoding : chunked")},
+
+	{"two blanks before the status", "", false, withReplaced("HTTP/1.1 ", "HTTP/1.1  ")},
+	{"tab before the status", "", false, withReplaced("HTTP/1.1 ", "HTTP/1.1\t")},
+	{"control byte in the reason", "", false, withReplaced(" OK\r\n", " O\x01K\r\n")},
+	{"CR in the reason", "", false, withReplaced(" OK\r\n", " O\rK\r\n")},
+	{"status line that ends without CR", "", false, withReplaced(" OK\r\n", " OK\n")},
+	{"HTTP/2.0", "", false, withReplaced("HTTP/1.1", "HTTP/2.0")},
+	{"HTTP/0.9", "", true, withReplaced("HTTP/1.1", "HTTP/0.9")},
+	{"HTTP/1.11", "", false, withReplaced("HTTP/1.1", "HTTP/1.11")},
+	{"switch of protocols", "", false, after("HTTP/1.1 101 Switching Protocols\r\n\r\n")},
+
+	{"length beside chunks", chunks, false, withLine("Content-Length: 4")},
+	{"chunks in HTTP/1.0", chunks, true, withReplaced("HTTP/1.1", "HTTP/1.0")},
+	{"chunks twice", chunks, false, withLine("Transfer-Encoding: chunked")},
+	{"unknown coding", chunks, false, withReplaced("Transfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked")},
+	{"identity coding", length, false, withLine("Transfer-Encoding: identity")},
+	{"two lengths", length, false, withLine("Content-Length: 4")},
+	{"signed length", length, false, withReplaced("Content-Length: ", "Content-Length: +")},
+	{"empty length", "none", false, withLine("Content-Length:")},
+	{"length beside 204", "", false, after("HTTP/1.1 204 None\r\nColtsfootpath-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody")},
+
+	{"blank after a chunk size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1 \r\nx\r\n")},
+	{"signed chunk size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n+1\r\nx\r\n")},
+	{"control byte in a chunk extension", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1;a\x01\r\nx\r\n")},
+	{"chunk line that ends without CR", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1\nx\r\n")},
+	{"chunk longer than its size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1\r\nxy\r\n")},
+	{"blank in the name of a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX Note: v\r\n")},
+	{"blank after the name of a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note : v\r\n")},
+	{"control byte in a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note: a\x01\r\n")},
+	{"trailer without a colon", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\ngarbage\r\n")},
+	{"trailer that begins with a blank", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note: v\r\n w: x\r\n")},
+
+	{"blank in an interim answer", "", false, after("HTTP/1.1 103 Early Hints\r\nX Note: v\r\n\r\n")},
+	{"interim answer with a length", "", false, after("HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nbody")},
+	{"interim answer with chunks", "", false, after("HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")},
+	{"interim answer without CR", "", false, after("HTTP/1.1 100 Continue\n\n")},
+	{"blank in the answer to another request", "", false, after(otherAnswer)},
+}
+
+// isHeadInvalid reports whether the head of the answer is broken, not what follows it.
+func (c invalidAnswer) isHeadInvalid() bool {
+	return !strings.Contains(c.name, "chunk ") && !strings.Contains(c.name, "trailer")
+}
+
+// scriptedServer is a backend server that gives its answers as bytes.
+type scriptedServer struct {
+	id    string
+	trial *invalidAnswerTrial
+}
+
+func (f *fixture) addScriptedServer(id string, trial *invalidAnswerTrial) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = listener.Close() })
+	s := &scriptedServer{id: id, trial: trial}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	entry := platformtest.NewServer(id, nil)
+	f.store.Put(platform.ServersTopic, id, entry.RegistrationAt(listener.Addr().String(), "s", "zone-a", "ready"))
+	entry.Close()
+}
+
+func (s *scriptedServer) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for broken := ""; ; {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if broken != "" {
+			s.trial.t.Errorf("%s %s was sent on the connection of the broken answer to %s", r.Method, r.URL.Path, broken)
+		}
+		id := r.Header.Get("Coltsfootpath-Request-Id")
+		if id == "" {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			continue
+		}
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		answer, isBroken, ends := s.trial.answerTo(s.id, id, r.URL.Path, last)
+		_, _ = io.WriteString(c, answer)
+		if ends {
+			return
+		}
+		if isBroken {
+			broken = id
+		}
+	}
+}
+
+// invalidAnswerTrial sends requests whose first run is answered as RFC 9112 does not allow.
+type invalidAnswerTrial struct {
+	*fixture
+	node  *Node
+	nodes []*Node
+
+	mu       sync.Mutex
+	runs     map[string]int
+	cases    map[string]invalidAnswer
+	framings map[string]string
+	statuses map[string]string
+}
+
+// answerTo returns the bytes of the next answer to a request, and whether the connection ends with
+// it. Failures and broken heads state all that a server may state about itself.
+func (b *invalidAnswerTrial) answerTo(server, id, path string, lastEvent int) (answer string, isBroken, ends bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id]++
+	h := wireHead{status: "200 OK", framing: b.framings[id], body: "answer of " + server + " to " + id}
+	h.fields = []string{"Coltsfootpath-Request-Id: " + id, "Coltsfootpath-Engine-Seal: seal", "X-Own: own", fmt.Sprintf("X-Run: %d", b.runs[id])}
+	if strings.Contains(path, "stream") {
+		h.body = ""
+		for i := lastEvent + 1; i <= platformtest.EventCount; i++ {
+			h.body += platformtest.Event(i)
+		}
+	}
+	if b.runs[id] > 1 || b.cases[id].encode == nil {
+		if h.framing == "none" {
+			h.framing = length
+		}
+		return h.encode(), false, false
+	}
+	h.status = b.statuses[id]
+	if !strings.HasPrefix(h.status, "200") {
+		h.body = "failure"
+	}
+	return b.cases[id].encode(h), true, h.framing == "none" || b.cases[id].closes
+}
+
+// newInvalidAnswerTrial starts a node that is linked to the servers, or one that sends requests
+// through another node.
+func newInvalidAnswerTrial(t *testing.T, isTunneled bool) *invalidAnswerTrial {
+	b := &invalidAnswerTrial{fixture: newFixture(t), runs: map[string]int{}, cases: map[string]invalidAnswer{}, framings: map[string]string{}, statuses: map[string]string{}}
+	serverIDs := []string{"s-1", "s-2"}
+	for _, id := range serverIDs {
+		b.addScriptedServer(id, b)
+	}
+	cut := newLinks()
+	dials := []func(context.Context, *net.Dialer, string) (net.Conn, error){nil}
+	if isTunneled {
+		dials = append(dials, cut.dial)
+	}
+	for i, dial := range dials {
+		n := newNode(b.settings(fmt.Sprint("vm-", i)), b.logs)
+		if dial != nil {
+			n.backends.dial = dial
+		}
+		if err := n.start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		b.nodes = append(b.nodes, n)
+	}
+	for _, n := range b.nodes {
+		b.eventually("nodes are ready and know each other", func() bool {
+			return n.Ready() && n.backends.count() == len(serverIDs) && n.members.count() == len(b.nodes)
+		})
+		settings := n.settings
+		settings.RetrySlack = 10_000
+		n.Reload(settings)
+	}
+	b.node = b.nodes[len(b.nodes)-1]
+	if isTunneled {
+		cut.set(linksRefuse)
+		b.eventually("the cut is noticed", func() bool {
+			b.mu.Lock()
+			b.framings["first"] = length
+			b.mu.Unlock()
+			do(t, b.node, call{method: "POST", path: "/again/x", key: "key-w", id: "first", body: "first"})
+			return b.node.usesTunnels("s")
+		})
+	}
+	return b
+}
+
+// send sends a request whose first answer is broken, and checks what its caller gets.
+func (b *invalidAnswerTrial) send(c invalidAnswer, path, framing, status string, statements []string, id string) {
+	name := fmt.Sprintf("%s, %s, %s, status %s", c.name, path, framing, status)
+	b.mu.Lock()
+	b.framings[id], b.statuses[id] = framing, status
+	withStatements := c
+	withStatements.encode = func(h wireHead) string {
+		h.fields = append(h.fields, statements...)
+		return c.encode(h)
+	}
+	b.cases[id] = withStatements
+	b.mu.Unlock()
+	conn, err := rawCallers[0].open(b.node, path+id, id, "body "+id, 2500*time.Millisecond)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer conn.Close()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	received := ""
+	if err == nil {
+		var data []byte
+		data, err = io.ReadAll(resp.Body)
+		received = string(data)
+	}
+	b.mu.Lock()
+	runs := b.runs[id]
+	b.mu.Unlock()
+	isStream := strings.Contains(path, "stream")
+	wantBodies := []string{"answer of s-1 to " + id, "answer of s-2 to " + id}
+	if isStream {
+		wantBodies = []string{eventText(1, platformtest.EventCount)}
+	}
+	mayRetry := path == "/again/" || path == "/stream/"
+	switch {
+	case mayRetry:
+		isWhole := received == wantBodies[0] || received == wantBodies[len(wantBodies)-1]
+		if err != nil || resp.StatusCode != http.StatusOK || !isWhole || runs != 2 || !isStream && resp.Header.Get("X-Run") != "2" {
+			b.t.Errorf("%s: %s, error %v, %q after %d runs, want the answer of the second run", name, describeHead(resp), err, received, runs)
+		}
+	case runs != 1:
+		b.t.Errorf("%s: %d runs, want 1", name, runs)
+	case err != nil:
+		// An answer that has begun is broken off. The head that has begun it was valid.
+		if resp == nil || !isStream || c.isHeadInvalid() {
+			b.t.Errorf("%s: error %v", name, err)
+		}
+	case resp.StatusCode != http.StatusBadGateway || received != "" || resp.Header.Get("Retry-After") != "" || resp.Header.Get("Coltsfootpath-Not-Run") != "" || resp.Header.Get("X-Own") != "":
+		b.t.Errorf("%s: %s, %q, want 502 without a statement", name, describeHead(resp), received)
+	}
+}
+
+func describeHead(resp *http.Response) string {
+	if resp == nil {
+		return "no answer"
+	}
+	return fmt.Sprintf("status %d, fields %q", resp.StatusCode, resp.Header)
+}
+
+// checkStatements checks that nothing was believed that a broken head has stated.
+func (b *invalidAnswerTrial) checkStatements() {
+	for _, line := range []string{"servers announced-leaving", "servers backoff", "servers limit", "servers brittle", "attempt not-run"} {
+		if b.logs.hasLine(line) {
+			b.t.Errorf("%q was logged: the statement in a broken head is believed", line)
+		}
+	}
+	for _, n := range b.nodes {
+		for _, p := range n.backends.probeCandidates("s", n.now()) {
+			if n.backends.isLimited(p.server) || n.places.isBrittle(p.server) || n.backends.cold.IsCold(p.server.id, n.now()) {
+				b.t.Errorf("%s: the limits in a broken head are believed", p.server.id)
+			}
+		}
+		if got := len(n.backends.probeCandidates("s", n.now())); got != 2 {
+			b.t.Errorf("%s may send requests to %d of 2 servers", n.settings.VM, got)
+		}
+	}
+}
+
+// sendAll sends a request for each case, kind of route and framing.
+func (b *invalidAnswerTrial) sendAll(status string, statements []string) {
+	count := 0
+	for _, c := range invalidAnswers {
+		if len(statements) > 0 && !c.isHeadInvalid() {
+			continue
+		}
+		for _, path := range []string{"/once/", "/again/", "/stream/", "/fixedstream/"} {
+			for _, framing := range []string{length, chunks, "none"} {
+				if c.framing == "" || c.framing == framing {
+					count++
+					b.send(c, path, framing, status, statements, fmt.Sprint("id-", count))
+				}
+			}
+		}
+	}
+}
+
+// TestInvalidAnswerIsPassedOn: an answer that RFC 9112 does not allow must be treated as broken on
+// each kind of route, whether it states success or failure, directly and through a tunnel.
+func TestInvalidAnswerIsPassedOn(t *testing.T) {
+	t.Parallel()
+	for _, isTunneled := range []bool{false} {
+		for _, status := range []string{"200 OK", "404 Not OK", "500 Not OK", "503 Not OK"} {
+			t.Run(fmt.Sprintf("tunnel %v, %s", isTunneled, status[:3]), func(t *testing.T) {
+				t.Parallel()
+				newInvalidAnswerTrial(t, isTunneled).sendAll(status, nil)
+			})
+		}
+	}
+}
+
+// TestStatementInInvalidHeadIsBelieved: nothing that a broken head states about its server or its
+// request must be used, neither by the node that sent the request nor by one that tunnels it.
+func TestStatementInInvalidHeadIsBelieved(t *testing.T) {
+	t.Parallel()
+	for _, isTunneled := range []bool{false} {
+		for _, v := range []struct {
+			name, status string
+			statements   []string
+		}{
+			{"leaving", "200 OK", []string{"Server-Leaving: 1"}},
+			{"limits", "200 OK", []string{"Server-Limit: 1", "Server-Brittle: 1", "Coltsfootpath-Cold-Ms: 60000"}},
+			{"backoff", "503 Not OK", []string{"Retry-After: 60"}},
+			{"not run", "503 Not OK", []string{"Coltsfootpath-Not-Run: 1"}},
+		} {
+			t.Run(fmt.Sprintf("tunnel %v, %s", isTunneled, v.name), func(t *testing.T) {
+				t.Parallel()
+				b := newInvalidAnswerTrial(t, isTunneled)
+				b.sendAll(v.status, v.statements)
+				b.checkStatements()
+			})
+		}
+	}
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"coltsfootpath.example/coltsfootpath/internal/transport/http1"
 )
 
 // Errors returned by Pool.Do.
@@ -32,8 +34,8 @@
 	// ErrAnswerStarted means that the first bytes of an answer were received, so
 	// the request has run.
 	ErrAnswerStarted = errors.New("answer has started")
-	// ErrInvalid means that bytes were received that are no answer, or no part of one,
-	// or more of them than an answer may have. The server had not closed the connection.
+	// ErrInvalid means that bytes were received that are no answer, or no part of one, see
+	// package http1, or more of them than an answer may have. The server had not closed the connection.
 	ErrInvalid = errors.New("invalid answer")
 	// ErrWithdrawn means that Request.MaySend has returned false.
 	ErrWithdrawn = errors.New("request withdrawn")
@@ -121,10 +123,11 @@
 	writing  sync.Mutex
 	writeErr error
 	reader   *bufio.Reader
-	// source is what reader reads from.
-	source *source
-	// headLimit bounds the bytes that reader reads from Conn for the head of an
-	// answer.
+	// source reads from Conn, and checked from source.
+	source  *source
+	checked *http1.Reader
+	// headLimit is what reader reads from. It bounds the bytes that are read from checked for
+	// the head of an answer.
 	headLimit   *io.LimitedReader
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -309,6 +312,7 @@
 func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Answer, error) {
 	a := &Answer{pool: p, conn: c, onData: req.OnData, OnNewConnection: !c.reused, written: make(chan error, 1), sentAt: time.Now()}
 	a.stopCancel = context.AfterFunc(ctx, a.cancel)
+	c.checked.IsHead = req.Method == http.MethodHead
 	err := errors.Wrap(a.write(req), "write request")
 	if err == nil {
 		err = a.readHead(req)
@@ -428,7 +432,7 @@
 	default:
 		err = errors.Wrap(c.readError(err), "read answer")
 	}
-	if c.headLimit.N < maxHeadBytes {
+	if c.headLimit.N < maxHeadBytes || c.checked.Err() != nil {
 		err = errors.Mark(err, ErrAnswerStarted)
 	}
 	return nil, err
@@ -437,6 +441,9 @@
 // readError adds the reason to an error of a parser: the error of the connection, or that
 // the bytes received are invalid.
 func (c *conn) readError(err error) error {
+	if invalid := c.checked.Err(); invalid != nil {
+		return errors.Mark(invalid, ErrInvalid)
+	}
 	reason := c.source.err
 	switch {
 	case reason == nil:
@@ -459,11 +466,7 @@
 		if err != nil {
 			return err
 		}
-		switch {
-		case resp.StatusCode < http.StatusContinue:
-			err := errors.Mark(errors.Newf("answer has the status %03d", resp.StatusCode), ErrInvalid)
-			return errors.Mark(err, ErrAnswerStarted)
-		case resp.StatusCode < http.StatusOK:
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if a.pool.cfg.OnHead != nil {
@@ -542,7 +545,7 @@
 
 // keepsConnection reports whether the connection can carry another request.
 func (a *Answer) keepsConnection() bool {
-	return a.end == EndFramed && !a.conn.adopted && !a.resp.Close && a.requestWritten() && a.conn.reader.Buffered() == 0
+	return a.end == EndFramed && !a.conn.adopted && !a.resp.Close && a.requestWritten() && a.conn.reader.Buffered() == 0 && a.conn.checked.Err() == nil
 }
 
 // requestWritten reports whether the request was completely written. It does
@@ -663,7 +666,8 @@
 func newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw}
 	c.source = &source{Reader: c}
-	c.headLimit = &io.LimitedReader{R: c.source, N: math.MaxInt64}
+	c.checked = http1.NewReader(c.source)
+	c.headLimit = &io.LimitedReader{R: c.checked, N: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c.headLimit, readBufferBytes)
 	return c
 }
