--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -380,7 +380,7 @@
 // each kind of route, whether it states success or failure, directly and through a tunnel.
 func TestInvalidAnswerIsPassedOn(t *testing.T) {
 	t.Parallel()
-	for _, isTunneled := range []bool{false} {
+	for _, isTunneled := range []bool{false, true} {
 		for _, status := range []string{"200 OK", "404 Not OK", "500 Not OK", "503 Not OK"} {
 			t.Run(fmt.Sprintf("tunnel %v, %s", isTunneled, status[:3]), func(t *testing.T) {
 				t.Parallel()
@@ -394,7 +394,7 @@
 // request must be used, neither by the node that sent the request nor by one that tunnels it.
 func TestStatementInInvalidHeadIsBelieved(t *testing.T) {
 	t.Parallel()
-	for _, isTunneled := range []bool{false} {
+	for _, isTunneled := range []bool{false, true} {
 		for _, v := range []struct {
 			name, status string
 			statements   []string
--- a/internal/gateway/tunnel_server.go
+++ b/internal/gateway/tunnel_server.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc"
 
 	"coltsfootpath.example/coltsfootpath/internal/protocol/relayapi"
+	"coltsfootpath.example/coltsfootpath/internal/transport/http1"
 	"coltsfootpath.example/coltsfootpath/internal/transport/upstream"
 	"coltsfootpath.example/coltsfootpath/platform"
 )
@@ -164,7 +165,7 @@
 			return nil
 		}
 		end += len("\r\n\r\n")
-		answer, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(o.buffer[:end])), nil)
+		answer, err := readHead(o.buffer[:end])
 		o.buffer = o.buffer[end:]
 		if err == nil && answer.StatusCode < http.StatusOK {
 			continue
@@ -177,6 +178,11 @@
 	}
 }
 
+// readHead returns the answer that has the given head.
+func readHead(head []byte) (*http.Response, error) {
+	return http.ReadResponse(bufio.NewReader(http1.NewReader(bytes.NewReader(head))), nil)
+}
+
 func (o *headObserver) finish(done bool) {
 	if done {
 		o.done, o.buffer = true, nil
