--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -152,7 +152,7 @@
 	}
 	startedAt := n.now()
 	connection, err := p.server.pool.Connect(ctx, check)
-	if err != nil && !errors.IsAny(err, upstream.ErrConnectionLimit, context.Canceled) {
+	if err != nil && !errors.IsAny(err, upstream.ErrConnectionLimit, context.Canceled) && !isBrokenAnswer(err) {
 		n.recordLinkFailure(p.server, startedAt)
 	}
 	return connection, err
--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -180,7 +180,7 @@
 		}
 		id := r.Header.Get("Coltsfootpath-Request-Id")
 		if id == "" {
-			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			_, _ = io.WriteString(c, s.trial.answerToCheck())
 			continue
 		}
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -201,11 +201,16 @@
 	node  *Node
 	nodes []*Node
 
-	mu       sync.Mutex
-	runs     map[string]int
-	cases    map[string]invalidAnswer
-	framings map[string]string
-	statuses map[string]string
+	// links are those of node to the servers if it sends requests through another node.
+	links *links
+
+	mu sync.Mutex
+	// checkField is a field of answers to checks.
+	checkField string
+	runs       map[string]int
+	cases      map[string]invalidAnswer
+	framings   map[string]string
+	statuses   map[string]string
 }
 
 // answerTo returns the bytes of the next answer to a request, and whether the connection ends with
@@ -235,6 +240,13 @@
 	return b.cases[id].encode(h), true, h.framing == "none" || b.cases[id].closes
 }
 
+// answerToCheck returns the answer to a check.
+func (b *invalidAnswerTrial) answerToCheck() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return "HTTP/1.1 200 OK\r\n" + b.checkField + "Content-Length: 2\r\n\r\n{}"
+}
+
 // newInvalidAnswerTrial starts a node that is linked to the servers, or one that sends requests
 // through another node.
 func newInvalidAnswerTrial(t *testing.T, isTunneled bool) *invalidAnswerTrial {
@@ -243,10 +255,10 @@
 	for _, id := range serverIDs {
 		b.addScriptedServer(id, b)
 	}
-	cut := newLinks()
+	b.links = newLinks()
 	dials := []func(context.Context, *net.Dialer, string) (net.Conn, error){nil}
 	if isTunneled {
-		dials = append(dials, cut.dial)
+		dials = append(dials, b.links.dial)
 	}
 	for i, dial := range dials {
 		n := newNode(b.settings(fmt.Sprint("vm-", i)), b.logs)
@@ -269,7 +281,7 @@
 	}
 	b.node = b.nodes[len(b.nodes)-1]
 	if isTunneled {
-		cut.set(linksRefuse)
+		b.links.set(linksRefuse)
 		b.eventually("the cut is noticed", func() bool {
 			b.mu.Lock()
 			b.framings["first"] = length
@@ -413,3 +425,27 @@
 		}
 	}
 }
+
+// TestInvalidAnswerToCheckCountsAgainstLinks: an answer to a check that is broken is no check
+// passed, but it shows that the server is reached.
+func TestInvalidAnswerToCheckCountsAgainstLinks(t *testing.T) {
+	t.Parallel()
+	b := newInvalidAnswerTrial(t, true)
+	b.mu.Lock()
+	b.checkField = "X Note: v\r\n"
+	b.mu.Unlock()
+	b.links.set(linksUp)
+	b.eventually("the links are restored", func() bool { return !b.node.links.IsCut("s") })
+	for _, p := range b.node.backends.probeCandidates("s", b.node.now()) {
+		ctx, cancel := context.WithTimeout(t.Context(), checkTimeout)
+		connection, err := b.node.connectReplacement(ctx, p, b.node.checkRequest(p))
+		cancel()
+		if err == nil {
+			connection.Release()
+			t.Errorf("%s has passed a check with a broken answer", p.server.id)
+		}
+		if b.node.links.HasFailed("s", p.server.id) || b.node.links.IsSuspected("s") {
+			t.Errorf("%s: the broken answer to a check counts against the links", p.server.id)
+		}
+	}
+}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -34,7 +34,7 @@
 // its link: the connection could not be opened, or broke off before any byte arrived.
 func isLinkFailure(err error) bool {
 	switch {
-	case err == nil || errors.IsAny(err, upstream.ErrConnectionLimit, upstream.ErrWithdrawn, upstream.ErrAnswerStarted, upstream.ErrInvalid):
+	case err == nil || errors.IsAny(err, upstream.ErrConnectionLimit, upstream.ErrWithdrawn) || isBrokenAnswer(err):
 		return false
 	case errors.Is(err, upstream.ErrNotSent):
 		return true
@@ -42,6 +42,12 @@
 	return errors.Is(err, upstream.ErrNewConnection) && isDisconnect(err)
 }
 
+// isBrokenAnswer reports whether err, of an exchange on a connection of this VM, means that an answer
+// has begun, or bytes have arrived that are none. The link has worked.
+func isBrokenAnswer(err error) bool {
+	return errors.IsAny(err, upstream.ErrAnswerStarted, upstream.ErrInvalid)
+}
+
 // recordLinkFailure records that a connection of this VM to a server, begun at startedAt, has
 // failed.
 func (n *Node) recordLinkFailure(b *backend, startedAt time.Time) {
@@ -146,6 +152,9 @@
 		check = n.checkRequest(p)
 	}
 	connection, err := p.server.pool.Connect(ctx, check)
+	if isBrokenAnswer(err) {
+		n.recordLinkWorked(p.server, startedAt)
+	}
 	if err != nil {
 		return
 	}
