--- a/internal/transport/httpclient/httpclient.go
+++ b/internal/transport/httpclient/httpclient.go
@@ -65,7 +65,7 @@
 // do sends a request and returns an answer with status 200. An error is marked
 // with ports.ErrNotSent if there was no connection, so that no part of the
 // request left this process, and otherwise as an interrupted connection. Any
-// other status is returned as a *StatusError.
+// other status of a complete answer is returned as a *StatusError.
 //
 // The request must not have an Idempotency-Key header, with which net/http
 // would retry a POST on its own.
@@ -102,10 +102,14 @@
 }
 
 // statusError returns the answer as a *StatusError, marked with the error of
-// package ports for its status if there is one.
+// package ports for its status if there is one. An answer that breaks off within
+// maxErrorBodyBytes is returned as an interrupted connection.
 func statusError(resp *http.Response) error {
-	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
-	err := error(&StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(data))})
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "read answer with status %d", resp.StatusCode), ports.ErrInterrupted)
+	}
+	err = error(&StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(data))})
 	switch resp.StatusCode {
 	case http.StatusBadRequest, http.StatusNotFound:
 		return errors.Mark(err, ports.ErrRejected)
