--- a/internal/caller/call_test.go
+++ b/internal/caller/call_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/internal/loopback"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/callerapi"
 )
 
@@ -45,3 +46,29 @@
 		t.Errorf("retry marks are %q", got)
 	}
 }
+
+// TestBrokenListOfAddressesIsUsed: addresses are taken from complete answers of success only.
+func TestBrokenListOfAddressesIsUsed(t *testing.T) {
+	const list = `{"addresses":[{"address":"entry-2"}],"keep_ms":60000}`
+	for name, v := range map[string]struct {
+		answer string
+		want   int
+	}{
+		"complete":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n35\r\n" + list + "\r\n0\r\n\r\n", 1},
+		"no last chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n35\r\n" + list + "\r\n", 0},
+		"bytes after":   {"HTTP/1.1 200 OK\r\nContent-Length: 57\r\n\r\n" + list + "]]]]", 0},
+		"failure":       {"HTTP/1.1 503 Unavailable\r\nContent-Length: 53\r\n\r\n" + list, 0},
+	} {
+		address, stop, err := loopback.Serve(v.answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := New(Config{})
+		got, err := client.fetchAddressesFrom(t.Context(), address)
+		if len(got.Addresses) != v.want || (err == nil) != (v.want > 0) {
+			t.Errorf("%s: addresses %v, error %v, want %d", name, got.Addresses, err, v.want)
+		}
+		client.Close()
+		stop()
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -348,7 +348,14 @@
 		return answer, err
 	}
 	defer resp.Body.Close()
-	return answer, json.NewDecoder(resp.Body).Decode(&answer)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	switch {
+	case err != nil:
+		return answer, err
+	case resp.StatusCode != http.StatusOK:
+		return answer, errors.Newf("status %d: %s", resp.StatusCode, data)
+	}
+	return answer, json.Unmarshal(data, &answer)
 }
 
 // markFailed marks the current address as failed and selects the next one. Once
