--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"coltsfootpath.example/coltsfootpath/internal/protocol/callerapi"
+	"coltsfootpath.example/coltsfootpath/internal/transport/http1"
 	"coltsfootpath.example/coltsfootpath/internal/transport/httpclient"
 )
 
@@ -53,7 +55,9 @@
 
 // New returns a client that fetches addresses from the seeds.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, lastFailure: map[string]time.Time{}, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}}
+	return &Client{cfg: cfg, lastFailure: map[string]time.Time{}, http: &http.Client{Transport: &http.Transport{
+		DialContext: http1.Checked((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+	}}}
 }
 
 // Close closes idle connections.
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -12,10 +12,20 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/app"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/adminapi"
+	"coltsfootpath.example/coltsfootpath/internal/transport/http1"
 )
 
 const maxAnswerBytes = 16 << 20
 
+var httpClient = &http.Client{Transport: newTransport()}
+
+// newTransport returns the default transport with connections on which answers are checked.
+func newTransport() http.RoundTripper {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = http1.Checked(t.DialContext)
+	return t
+}
+
 // AdminClient calls the admin API of one coordinator.
 type AdminClient struct {
 	Address string
@@ -38,7 +48,7 @@
 		return &app.ExitError{Code: app.ExitUsage, Err: err}
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Token)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return &app.ExitError{Code: app.ExitUnavailable, Err: errors.Wrap(err, "call coordinator")}
 	}
--- a/internal/transport/httpclient/httpclient.go
+++ b/internal/transport/httpclient/httpclient.go
@@ -18,6 +18,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/ports"
+	"coltsfootpath.example/coltsfootpath/internal/transport/http1"
 )
 
 const (
@@ -39,7 +40,7 @@
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         http1.Checked(dialer.DialContext),
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
