--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -15,12 +15,14 @@
 
 	"coltsfootpath.example/coltsfootpath/internal/coordination/ports"
 	"coltsfootpath.example/coltsfootpath/internal/invariant"
+	"coltsfootpath.example/coltsfootpath/internal/loopback"
 	"coltsfootpath.example/coltsfootpath/internal/protocol/callerapi"
 	"coltsfootpath.example/coltsfootpath/internal/standin/cloud"
 	"coltsfootpath.example/coltsfootpath/internal/standin/logservice"
 	"coltsfootpath.example/coltsfootpath/internal/standin/service"
 	"coltsfootpath.example/coltsfootpath/internal/state/calls"
 	"coltsfootpath.example/coltsfootpath/internal/state/control"
+	"coltsfootpath.example/coltsfootpath/internal/transport/http1/http1test"
 	"coltsfootpath.example/coltsfootpath/internal/transport/httpclient"
 	"coltsfootpath.example/coltsfootpath/internal/transport/httpserver"
 )
@@ -34,14 +36,23 @@
 
 func newLedgerCluster(t *testing.T, nodes int) *ledgerCluster {
 	t.Helper()
-	b := &ledgerCluster{log: logservice.New(logservice.Config{}), ledger: service.New(1)}
-	server, err := httpserver.Start(httpserver.Config{Name: "ledger", Address: "127.0.0.1:0", Handler: b.ledger.Handler(), MaxBodyBytes: 1 << 20})
+	ledger := service.New(1)
+	server, err := httpserver.Start(httpserver.Config{Name: "ledger", Address: "127.0.0.1:0", Handler: ledger.Handler(), MaxBodyBytes: 1 << 20})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Close)
+	b := newClusterOf(t, server.Address(), nodes)
+	b.ledger = ledger
+	return b
+}
+
+// newClusterOf starts entry nodes that send calls of the ledger service to address.
+func newClusterOf(t *testing.T, address string, nodes int) *ledgerCluster {
+	t.Helper()
+	b := &ledgerCluster{log: logservice.New(logservice.Config{})}
 	vms := cloud.New(cloud.Config{})
-	vms.Add(ports.VM{ID: "ledger-1", Role: ports.ServiceRole, Service: "ledger", Address: server.Address(), AvailabilityZone: "zone-a"})
+	vms.Add(ports.VM{ID: "ledger-1", Role: ports.ServiceRole, Service: "ledger", Address: address, AvailabilityZone: "zone-a"})
 	appendDocument(t, b.log)
 	for i := range nodes {
 		b.nodes = append(b.nodes, b.start(t, fmt.Sprintf("entry-%d", i+1), vms))
@@ -193,6 +204,23 @@
 	}
 }
 
+// TestInvalidRejectionIsBelieved: a service rejects a call in an answer that RFC 9112 does not allow.
+// The call may have run.
+func TestInvalidRejectionIsBelieved(t *testing.T) {
+	for name, answer := range http1test.InvalidAnswers(http.StatusServiceUnavailable, "full") {
+		address, stop, err := loopback.Serve(answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := newClusterOf(t, address, 1).nodes[0]
+		if _, rejection, err := (deposit{key: "deposit-1", body: "{}"}).send(n); err != nil || rejection == nil || rejection.Code != callerapi.OutcomeUnknown || rejection.Run != callerapi.RunUnknown {
+			t.Errorf("%s: %+v, error %v", name, rejection, err)
+		}
+		n.Close()
+		stop()
+	}
+}
+
 // TestOwnerKilledBeforeItsOutcome appends the claim of a VM that was killed
 // before it could log an outcome, so its call may have run. Another VM must
 // neither run the call again nor answer "not run".
