--- a/internal/gateway/stopped_stream_test.go
+++ b/internal/gateway/stopped_stream_test.go
@@ -54,6 +54,8 @@
 	// body is that of an answer without a handle. It is cut if isCut is set.
 	body  string
 	isCut bool
+	// field is a line of the answer's head, without its end.
+	field string
 	// isSilent is set if there is no answer, on a connection that stays open.
 	isSilent bool
 	// delay is the time from the end of the stream until an answer that comes later.
@@ -404,6 +406,9 @@
 	if a.status == http.StatusMisdirectedRequest {
 		header = "Coltsfootpath-Not-Run: 1\r\n"
 	}
+	if a.field != "" {
+		header += a.field + "\r\n"
+	}
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n%s\r\n%s", a.status, http.StatusText(a.status), length, header, body)
 }
 
@@ -696,6 +701,8 @@
 		{stopAnswer{name: "503", status: http.StatusServiceUnavailable}, allEnds},
 		{stopAnswer{name: "500", status: http.StatusInternalServerError}, allEnds},
 		{stopAnswer{name: "409", status: http.StatusConflict}, allEnds},
+		{stopAnswer{name: "404 with a broken head", status: http.StatusNotFound, field: "X Note: v"}, allEnds},
+		{stopAnswer{name: "421 with a broken head", status: http.StatusMisdirectedRequest, field: "X-Note : v"}, allEnds},
 	} {
 		t.Run(c.answer.name, func(t *testing.T) {
 			t.Parallel()
