--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/answer_forms_test.go
@@ -37,8 +37,8 @@
 	return head + "\r\n" + h.body
 }
 
-// invalidAnswer is a way in which an answer breaks RFC 9112.
-type invalidAnswer struct {
+// answerForm is an unusual form of an answer.
+type answerForm struct {
 	name string
 	// framing is the only one to which the case applies, empty if it applies to each.
 	framing string
@@ -47,6 +47,8 @@
 	closes bool
 	// encode returns the bytes of the answer.
 	encode func(h wireHead) string
+	// isValid is set if RFC 9112 allows the answer.
+	isValid bool
 }
 
 // withReplaced returns the answer with a part of its bytes replaced.
@@ -73,79 +75,99 @@
 )
 
 // invalidAnswers are answers whose heads, chunks or trailers RFC 9112 does not allow.
-var invalidAnswers = []invalidAnswer{
-	{"blank after a name", "", false, withLine("X-Note : v")},
-	{"blank in a name", "", false, withLine("X Note: v")},
-	{"tab in a name", "", false, withLine("X\tNote: v")},
-	{"control byte in a name", "", false, withLine("X\x01Note: v")},
-	{"delete byte in a name", "", false, withLine("X\x7fNote: v")},
-	{"separator in a name", "", false, withLine("X(Note): v")},
-	{"letter outside ASCII in a name", "", false, withLine("X\xe9Note: v")},
-	{"no name", "", false, withLine(": v")},
-	{"no colon", "", false, withLine("garbage")},
-	{"control byte in a value", "", false, withLine("X-Note: a\x00b")},
-	{"line that begins with a blank", "", false, withReplaced("X-Own: own\r\n", "X-Own: own\r\n Content-Note: v\r\n")},
-	{"first line that begins with a blank", "", false, withLine(" X-Note: v")},
-	{"line that ends without CR", "", false, withReplaced("X-Own: own\r\n", "X-Own: own\nContent-Note: v\r\n")},
-	{"line that ends with two CR", "", false, withLine("X-Note: v\r")},
-	{"blank after the name of the seal", "", false, withLine("Coltsfootpath-Engine-Seal : seal")},
-	{"blank after Content-Length", length, true, withReplaced("Content-Length:", "Content-Length :")},
-	{"blank in Content-Length", length, true, withReplaced("Content-Length:", "Content Length:")},
-	{"blank before Content-Length", length, true, withReplaced("Content-Length:", " Content-Length:")},
-	{"blank after Transfer-Encoding", chunks, true, withReplaced("Transfer-Encoding:", "Transfer-Encoding :")},
-	{"blank before Transfer-Encoding", chunks, true, withReplaced("Transfer-Encoding:", "\tTransfer-Encoding:")},
-	{"blank after Transfer-Encoding beside a length", length, false, withLine("Transfer-Encoding : chunked")},
-
-	{"two blanks before the status", "", false, withReplaced("HTTP/1.1 ", "HTTP/1.1  ")},
-	{"tab before the status", "", false, withReplaced("HTTP/1.1 ", "HTTP/1.1\t")},
-	{"control byte in the reason", "", false, withReplaced(" OK\r\n", " O\x01K\r\n")},
-	{"CR in the reason", "", false, withReplaced(" OK\r\n", " O\rK\r\n")},
-	{"status line that ends without CR", "", false, withReplaced(" OK\r\n", " OK\n")},
-	{"HTTP/2.0", "", false, withReplaced("HTTP/1.1", "HTTP/2.0")},
-	{"HTTP/0.9", "", true, withReplaced("HTTP/1.1", "HTTP/0.9")},
-	{"HTTP/1.11", "", false, withReplaced("HTTP/1.1", "HTTP/1.11")},
-	{"switch of protocols", "", false, after("HTTP/1.1 101 Switching Protocols\r\n\r\n")},
-
-	{"length beside chunks", chunks, false, withLine("Content-Length: 4")},
-	{"chunks in HTTP/1.0", chunks, true, withReplaced("HTTP/1.1", "HTTP/1.0")},
-	{"chunks twice", chunks, false, withLine("Transfer-Encoding: chunked")},
-	{"unknown coding", chunks, false, withReplaced("Transfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked")},
-	{"identity coding", length, false, withLine("Transfer-Encoding: identity")},
-	{"two lengths", length, false, withLine("Content-Length: 4")},
-	{"signed length", length, false, withReplaced("Content-Length: ", "Content-Length: +")},
-	{"empty length", "none", false, withLine("Content-Length:")},
-	{"length beside 204", "", false, after("HTTP/1.1 204 None\r\nColtsfootpath-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody")},
-
-	{"blank after a chunk size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1 \r\nx\r\n")},
-	{"signed chunk size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n+1\r\nx\r\n")},
-	{"control byte in a chunk extension", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1;a\x01\r\nx\r\n")},
-	{"chunk line that ends without CR", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1\nx\r\n")},
-	{"chunk longer than its size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1\r\nxy\r\n")},
-	{"blank in the name of a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX Note: v\r\n")},
-	{"blank after the name of a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note : v\r\n")},
-	{"control byte in a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note: a\x01\r\n")},
-	{"trailer without a colon", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\ngarbage\r\n")},
-	{"trailer that begins with a blank", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note: v\r\n w: x\r\n")},
-
-	{"blank in an interim answer", "", false, after("HTTP/1.1 103 Early Hints\r\nX Note: v\r\n\r\n")},
-	{"interim answer with a length", "", false, after("HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nbody")},
-	{"interim answer with chunks", "", false, after("HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")},
-	{"interim answer without CR", "", false, after("HTTP/1.1 100 Continue\n\n")},
-	{"blank in the answer to another request", "", false, after(otherAnswer)},
+var invalidAnswers = []answerForm{
+	{"blank after a name", "", false, withLine("X-Note : v"), false},
+	{"blank in a name", "", false, withLine("X Note: v"), false},
+	{"tab in a name", "", false, withLine("X\tNote: v"), false},
+	{"control byte in a name", "", false, withLine("X\x01Note: v"), false},
+	{"delete byte in a name", "", false, withLine("X\x7fNote: v"), false},
+	{"separator in a name", "", false, withLine("X(Note): v"), false},
+	{"letter outside ASCII in a name", "", false, withLine("X\xe9Note: v"), false},
+	{"no name", "", false, withLine(": v"), false},
+	{"no colon", "", false, withLine("garbage"), false},
+	{"control byte in a value", "", false, withLine("X-Note: a\x00b"), false},
+	{"line that begins with a blank", "", false, withReplaced("X-Own: own\r\n", "X-Own: own\r\n Content-Note: v\r\n"), false},
+	{"first line that begins with a blank", "", false, withLine(" X-Note: v"), false},
+	{"line that ends without CR", "", false, withReplaced("X-Own: own\r\n", "X-Own: own\nContent-Note: v\r\n"), false},
+	{"line that ends with two CR", "", false, withLine("X-Note: v\r"), false},
+	{"blank after the name of the seal", "", false, withLine("Coltsfootpath-Engine-Seal : seal"), false},
+	{"blank after Content-Length", length, true, withReplaced("Content-Length:", "Content-Length :"), false},
+	{"blank in Content-Length", length, true, withReplaced("Content-Length:", "Content Length:"), false},
+	{"blank before Content-Length", length, true, withReplaced("Content-Length:", " Content-Length:"), false},
+	{"blank after Transfer-Encoding", chunks, true, withReplaced("Transfer-Encoding:", "Transfer-Encoding :"), false},
+	{"blank before Transfer-Encoding", chunks, true, withReplaced("Transfer-Encoding:", "\tTransfer-Encoding:"), false},
+	{"blank after Transfer-Encoding beside a length", length, false, withLine("Transfer-Encoding : chunked"), false},
+
+	{"two blanks before the status", "", false, withReplaced("HTTP/1.1 ", "HTTP/1.1  "), false},
+	{"tab before the status", "", false, withReplaced("HTTP/1.1 ", "HTTP/1.1\t"), false},
+	{"control byte in the reason", "", false, withReplaced(" OK\r\n", " O\x01K\r\n"), false},
+	{"CR in the reason", "", false, withReplaced(" OK\r\n", " O\rK\r\n"), false},
+	{"status line that ends without CR", "", false, withReplaced(" OK\r\n", " OK\n"), false},
+	{"HTTP/2.0", "", false, withReplaced("HTTP/1.1", "HTTP/2.0"), false},
+	{"HTTP/0.9", "", true, withReplaced("HTTP/1.1", "HTTP/0.9"), false},
+	{"HTTP/1.11", "", false, withReplaced("HTTP/1.1", "HTTP/1.11"), false},
+	{"switch of protocols", "", false, after("HTTP/1.1 101 Switching Protocols\r\n\r\n"), false},
+
+	{"length beside chunks", chunks, false, withLine("Content-Length: 4"), false},
+	{"chunks in HTTP/1.0", chunks, true, withReplaced("HTTP/1.1", "HTTP/1.0"), false},
+	{"chunks twice", chunks, false, withLine("Transfer-Encoding: chunked"), false},
+	{"unknown coding", chunks, false, withReplaced("Transfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked"), false},
+	{"identity coding", length, false, withLine("Transfer-Encoding: identity"), false},
+	{"two lengths", length, false, withLine("Content-Length: 4"), false},
+	{"signed length", length, false, withReplaced("Content-Length: ", "Content-Length: +"), false},
+	{"empty length", "none", false, withLine("Content-Length:"), false},
+	{"length beside 204", "", false, after("HTTP/1.1 204 None\r\nColtsfootpath-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody"), false},
+
+	{"blank after a chunk size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1 \r\nx\r\n"), false},
+	{"signed chunk size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n+1\r\nx\r\n"), false},
+	{"control byte in a chunk extension", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1;a\x01\r\nx\r\n"), false},
+	{"chunk line that ends without CR", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1\nx\r\n"), false},
+	{"chunk longer than its size", chunks, false, withReplaced("\r\n\r\n", "\r\n\r\n1\r\nxy\r\n"), false},
+	{"blank in the name of a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX Note: v\r\n"), false},
+	{"blank after the name of a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note : v\r\n"), false},
+	{"control byte in a trailer", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note: a\x01\r\n"), false},
+	{"trailer without a colon", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\ngarbage\r\n"), false},
+	{"trailer that begins with a blank", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note: v\r\n w: x\r\n"), false},
+
+	{"blank in an interim answer", "", false, after("HTTP/1.1 103 Early Hints\r\nX Note: v\r\n\r\n"), false},
+	{"interim answer with a length", "", false, after("HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nbody"), false},
+	{"interim answer with chunks", "", false, after("HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), false},
+	{"interim answer without CR", "", false, after("HTTP/1.1 100 Continue\n\n"), false},
+	{"blank in the answer to another request", "", false, after(otherAnswer), false},
+}
+
+// validAnswers are answers that RFC 9112 allows.
+var validAnswers = []answerForm{
+	{"usual", "", false, wireHead.encode, true},
+	{"no reason", "", false, withReplaced(" OK\r\n", "\r\n"), true},
+	{"empty reason", "", false, withReplaced(" OK\r\n", " \r\n"), true},
+	{"bytes outside ASCII", "", false, withReplaced(" OK\r\n", " \xe9\r\n"), true},
+	{"later minor version", "", false, withReplaced("HTTP/1.1", "HTTP/1.9"), true},
+	{"HTTP/1.0", "none", false, withReplaced("HTTP/1.1", "HTTP/1.0"), true},
+	{"unusual name", "", false, withLine("X!#$%&'*+-.^_`|~: v"), true},
+	{"no blank before a value", "", false, withLine("x-note:v"), true},
+	{"blanks around a value", "", false, withLine("X-Note: \t v\t "), true},
+	{"empty value", "", false, withLine("X-Note:"), true},
+	{"length twice", length, false, func(h wireHead) string { return withLine(fmt.Sprint("Content-Length: ", len(h.body)))(h) }, true},
+	{"name of the coding in capitals", chunks, false, withReplaced("Transfer-Encoding: chunked", "TRANSFER-ENCODING:CHUNKED"), true},
+	{"chunk extensions", chunks, false, withReplaced("\r\n0\r\n", "\r\n00;a;b=c;d=\"e \xe9\"\r\n"), true},
+	{"trailers", chunks, false, withReplaced("\r\n0\r\n", "\r\n0\r\nX-Note: v\r\nContent-Length: 1\r\n"), true},
+	{"interim answers", "", false, after("HTTP/1.1 100\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Note: v\r\n\r\n"), true},
+	{"answers to other requests", "", false, after("HTTP/1.1 204 None\r\nColtsfootpath-Request-Id: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 304 None\r\nColtsfootpath-Request-Id: other\r\nContent-Length: 4\r\n\r\n"), true},
 }
 
 // isHeadInvalid reports whether the head of the answer is broken, not what follows it.
-func (c invalidAnswer) isHeadInvalid() bool {
+func (c answerForm) isHeadInvalid() bool {
 	return !strings.Contains(c.name, "chunk ") && !strings.Contains(c.name, "trailer")
 }
 
 // scriptedServer is a backend server that gives its answers as bytes.
 type scriptedServer struct {
 	id    string
-	trial *invalidAnswerTrial
+	trial *answerFormTrial
 }
 
-func (f *fixture) addScriptedServer(id string, trial *invalidAnswerTrial) {
+func (f *fixture) addScriptedServer(id string, trial *answerFormTrial) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
@@ -195,8 +217,8 @@
 	}
 }
 
-// invalidAnswerTrial sends requests whose first run is answered as RFC 9112 does not allow.
-type invalidAnswerTrial struct {
+// answerFormTrial sends requests whose first run is answered as RFC 9112 does not allow.
+type answerFormTrial struct {
 	*fixture
 	node  *Node
 	nodes []*Node
@@ -208,14 +230,14 @@
 	// checkField is a field of answers to checks.
 	checkField string
 	runs       map[string]int
-	cases      map[string]invalidAnswer
+	cases      map[string]answerForm
 	framings   map[string]string
 	statuses   map[string]string
 }
 
 // answerTo returns the bytes of the next answer to a request, and whether the connection ends with
 // it. Failures and broken heads state all that a server may state about itself.
-func (b *invalidAnswerTrial) answerTo(server, id, path string, lastEvent int) (answer string, isBroken, ends bool) {
+func (b *answerFormTrial) answerTo(server, id, path string, lastEvent int) (answer string, isBroken, ends bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runs[id]++
@@ -237,20 +259,21 @@
 	if !strings.HasPrefix(h.status, "200") {
 		h.body = "failure"
 	}
-	return b.cases[id].encode(h), true, h.framing == "none" || b.cases[id].closes
+	c := b.cases[id]
+	return c.encode(h), !c.isValid, h.framing == "none" || c.closes
 }
 
 // answerToCheck returns the answer to a check.
-func (b *invalidAnswerTrial) answerToCheck() string {
+func (b *answerFormTrial) answerToCheck() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return "HTTP/1.1 200 OK\r\n" + b.checkField + "Content-Length: 2\r\n\r\n{}"
 }
 
-// newInvalidAnswerTrial starts a node that is linked to the servers, or one that sends requests
+// newAnswerFormTrial starts a node that is linked to the servers, or one that sends requests
 // through another node.
-func newInvalidAnswerTrial(t *testing.T, isTunneled bool) *invalidAnswerTrial {
-	b := &invalidAnswerTrial{fixture: newFixture(t), runs: map[string]int{}, cases: map[string]invalidAnswer{}, framings: map[string]string{}, statuses: map[string]string{}}
+func newAnswerFormTrial(t *testing.T, isTunneled bool) *answerFormTrial {
+	b := &answerFormTrial{fixture: newFixture(t), runs: map[string]int{}, cases: map[string]answerForm{}, framings: map[string]string{}, statuses: map[string]string{}}
 	serverIDs := []string{"s-1", "s-2"}
 	for _, id := range serverIDs {
 		b.addScriptedServer(id, b)
@@ -294,7 +317,7 @@
 }
 
 // send sends a request whose first answer is broken, and checks what its caller gets.
-func (b *invalidAnswerTrial) send(c invalidAnswer, path, framing, status string, statements []string, id string) {
+func (b *answerFormTrial) send(c answerForm, path, framing, status string, statements []string, id string) {
 	name := fmt.Sprintf("%s, %s, %s, status %s", c.name, path, framing, status)
 	b.mu.Lock()
 	b.framings[id], b.statuses[id] = framing, status
@@ -352,7 +375,7 @@
 }
 
 // checkStatements checks that nothing was believed that a broken head has stated.
-func (b *invalidAnswerTrial) checkStatements() {
+func (b *answerFormTrial) checkStatements() {
 	for _, line := range []string{"servers announced-leaving", "servers backoff", "servers limit", "servers brittle", "attempt not-run"} {
 		if b.logs.hasLine(line) {
 			b.t.Errorf("%q was logged: the statement in a broken head is believed", line)
@@ -371,7 +394,7 @@
 }
 
 // sendAll sends a request for each case, kind of route and framing.
-func (b *invalidAnswerTrial) sendAll(status string, statements []string) {
+func (b *answerFormTrial) sendAll(status string, statements []string) {
 	count := 0
 	for _, c := range invalidAnswers {
 		if len(statements) > 0 && !c.isHeadInvalid() {
@@ -396,7 +419,7 @@
 		for _, status := range []string{"200 OK", "404 Not OK", "500 Not OK", "503 Not OK"} {
 			t.Run(fmt.Sprintf("tunnel %v, %s", isTunneled, status[:3]), func(t *testing.T) {
 				t.Parallel()
-				newInvalidAnswerTrial(t, isTunneled).sendAll(status, nil)
+				newAnswerFormTrial(t, isTunneled).sendAll(status, nil)
 			})
 		}
 	}
@@ -418,7 +441,7 @@
 		} {
 			t.Run(fmt.Sprintf("tunnel %v, %s", isTunneled, v.name), func(t *testing.T) {
 				t.Parallel()
-				b := newInvalidAnswerTrial(t, isTunneled)
+				b := newAnswerFormTrial(t, isTunneled)
 				b.sendAll(v.status, v.statements)
 				b.checkStatements()
 			})
@@ -430,7 +453,7 @@
 // passed, but it shows that the server is reached.
 func TestInvalidAnswerToCheckCountsAgainstLinks(t *testing.T) {
 	t.Parallel()
-	b := newInvalidAnswerTrial(t, true)
+	b := newAnswerFormTrial(t, true)
 	b.mu.Lock()
 	b.checkField = "X Note: v\r\n"
 	b.mu.Unlock()
@@ -449,3 +472,42 @@
 		}
 	}
 }
+
+// TestUnusualAnswerIsLost: callers get answers that are unusual and valid whole, after one run.
+func TestUnusualAnswerIsLost(t *testing.T) {
+	t.Parallel()
+	for _, isTunneled := range []bool{false, true} {
+		t.Run(fmt.Sprint("tunnel ", isTunneled), func(t *testing.T) {
+			t.Parallel()
+			b := newAnswerFormTrial(t, isTunneled)
+			count := 0
+			for _, c := range validAnswers {
+				for _, path := range []string{"/once/", "/again/", "/stream/", "/fixedstream/"} {
+					for _, framing := range []string{length, chunks, "none"} {
+						if c.framing == "" || c.framing == framing {
+							count++
+							b.sendValid(c, path, framing, fmt.Sprint("id-", count))
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+func (b *answerFormTrial) sendValid(c answerForm, path, framing, id string) {
+	b.mu.Lock()
+	b.cases[id], b.framings[id], b.statuses[id] = c, framing, "200 OK"
+	b.mu.Unlock()
+	status, received, err := rawCallers[0].send(b.node, path+id, id, "body "+id, 2500*time.Millisecond)
+	b.mu.Lock()
+	runs := b.runs[id]
+	b.mu.Unlock()
+	isWhole := received == "answer of s-1 to "+id || received == "answer of s-2 to "+id
+	if strings.Contains(path, "stream") {
+		isWhole = received == eventText(1, platformtest.EventCount)
+	}
+	if err != nil || status != http.StatusOK || !isWhole || runs != 1 {
+		b.t.Errorf("%s, %s, %s: status %d, error %v, %q after %d runs, want the answer of the first run", c.name, path, framing, status, err, received, runs)
+	}
+}
