--- a/internal/gateway/answer_forms_test.go
+++ b/internal/gateway/answer_forms_test.go
@@ -495,6 +495,29 @@
 	}
 }
 
+// TestFieldsOfConnectionReachCallers: callers get the fields that the server has sent, without those
+// that concern its connection to this node, and no others.
+func TestFieldsOfConnectionReachCallers(t *testing.T) {
+	t.Parallel()
+	b := newAnswerFormTrial(t, false)
+	for id, line := range map[string]string{"id-1": "Connection: X-Hop", "id-2": "Connection: close, X-Hop", "id-3": "Connection: x-hop\r\nConnection: close", "id-4": "Pragma: no-cache"} {
+		c := answerForm{line, "", true, withLine(line + "\r\nX-Hop: v"), true}
+		b.mu.Lock()
+		b.cases[id], b.framings[id], b.statuses[id] = c, length, "200 OK"
+		b.mu.Unlock()
+		conn, err := rawCallers[1].open(b.node, "/again/"+id, id, "body "+id, 2500*time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		received, err := io.ReadAll(conn)
+		head, _, _ := strings.Cut(string(received), "\r\n\r\n")
+		if err != nil || !strings.HasPrefix(head, "HTTP/1.1 200 ") || strings.Contains(head, "X-Hop: v") != (id == "id-4") || strings.Contains(head, "Cache-Control") || !strings.Contains(head, "X-Own: own") {
+			t.Errorf("%q: %q, error %v", line, head, err)
+		}
+		conn.Close()
+	}
+}
+
 func (b *answerFormTrial) sendValid(c answerForm, path, framing, id string) {
 	b.mu.Lock()
 	b.cases[id], b.framings[id], b.statuses[id] = c, framing, "200 OK"
--- a/internal/transport/http1/answers_test.go
+++ b/internal/transport/http1/answers_test.go
@@ -125,7 +125,7 @@
 		if v != valid || strings.Join(want.fields["Id"][:min(1, len(want.fields["Id"]))], "") == ownID {
 			break
 		}
-		if want.endsConnection || want.minorVersion == 0 {
+		if want.endsConnection || want.minorVersion == 0 || closes(want.fields["Connection"]) {
 			v = incomplete
 			break
 		}
@@ -134,7 +134,7 @@
 	case v == valid && err != nil:
 		t.Errorf("pool: %q: error %v, want status %d, body %q", stream, err, want.status, want.body)
 	case v == valid:
-		checkAnswer(t, "pool", stream, a.Status, a.Header, body, want)
+		checkAnswer(t, "pool", stream, a.Status, a.Header, body, want, framingFields)
 		if !isClosed && (want.endsConnection || delivered > len(stream)-len(r.rest)) {
 			t.Errorf("pool: %q: the connection is kept after an answer that is followed by %q", stream, r.rest)
 		}
@@ -150,6 +150,16 @@
 	}
 }
 
+// closes reports whether a connection is closed after an answer with these values of Connection.
+func closes(connection []string) bool {
+	for option := range strings.SplitSeq(strings.Join(connection, ","), ",") {
+		if strings.EqualFold(strings.Trim(option, " \t"), "close") {
+			return true
+		}
+	}
+	return false
+}
+
 // checkTransport checks what an http.Transport makes of the bytes against a strict reader.
 func checkTransport(t failer, stream string, pieces []string) {
 	c := newReplayConn(pieces)
@@ -170,18 +180,20 @@
 	case v == valid && err != nil:
 		t.Errorf("transport: %q: error %v, want status %d, body %q", stream, err, want.status, want.body)
 	case v == valid:
-		checkAnswer(t, "transport", stream, resp.StatusCode, resp.Header, body, want)
+		checkAnswer(t, "transport", stream, resp.StatusCode, resp.Header, body, want, append([]string{"Connection", "Cache-Control"}, framingFields...))
 	case err == nil:
 		t.Errorf("transport: %q: status %d, body %q, want an error", stream, resp.StatusCode, body)
 	}
 }
 
-// checkAnswer compares an answer with that of the strict reader. The library removes the fields
-// that concern the connection.
-func checkAnswer(t failer, reader, stream string, status int, header http.Header, body string, want strictAnswer) {
+// framingFields are fields that the library's reader removes.
+var framingFields = []string{"Transfer-Encoding", "Content-Length"}
+
+// checkAnswer compares an answer with that of the strict reader, but for the ignored fields.
+func checkAnswer(t failer, reader, stream string, status int, header http.Header, body string, want strictAnswer, ignored []string) {
 	got := header.Clone()
 	fields := maps.Clone(want.fields)
-	for _, name := range []string{"Transfer-Encoding", "Content-Length", "Connection", "Trailer"} {
+	for _, name := range ignored {
 		delete(got, name)
 		delete(fields, name)
 	}
@@ -211,7 +223,7 @@
 		lines = append(lines, "Id: "+id)
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "fields") {
-		lines = append(lines, pick(t, "field", []string{"X-Note: v", "x-note:w", "X-Note: \t a b\t", "Server-Leaving: 1", "X-Empty:", "X!#$%&'*+-.^_`|~: v", "X-Text: \xe9\"(;:", "Keep-Alive: timeout=5"},
+		lines = append(lines, pick(t, "field", []string{"X-Note: v", "x-note:w", "X-Note: \t a b\t", "Server-Leaving: 1", "X-Empty:", "X!#$%&'*+-.^_`|~: v", "X-Text: \xe9\"(;:", "Keep-Alive: timeout=5", "Connection: close, X-Note", "connection:x-note", "Pragma: no-cache", "Cache-Control: no-cache"},
 			[]string{"X-Note : v", "X Note: v", "X\tNote: v", "X\x01: v", "\xe9: v", "X-Note: a\x00b", "X-Note: a\x7fb", " folded", "\tX-Fold: v", ": v", "garbage", "X(: v", "Id : a"}))
 	}
 	body := rapid.SampledFrom([]string{"body", "", "id: 1\ndata: x\n\n", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n"}).Draw(t, "body")
--- a/internal/transport/http1/checker.go
+++ b/internal/transport/http1/checker.go
@@ -40,6 +40,8 @@
 type Checker struct {
 	// IsHead is set while the answers are those to HEAD requests, which have no content.
 	IsHead bool
+	// OnHead is called at the end of each head. It may be nil.
+	OnHead func(ChangedFields)
 
 	next part
 	// line is the part that has arrived of a line that has not ended.
@@ -51,8 +53,18 @@
 	err error
 }
 
-// head is what the lines of a head state about the framing.
+// ChangedFields are the fields of a head that the library's reader removes or adds.
+type ChangedFields struct {
+	// Connection holds the values of Connection, which is removed if one of them is "close".
+	Connection []string
+	// HasCacheControl is false if there is no Cache-Control, which is added beside
+	// "Pragma: no-cache".
+	HasCacheControl bool
+}
+
+// head is what the lines of a head state about the framing, and its changed fields.
 type head struct {
+	changed              ChangedFields
 	status, minorVersion int
 	lengths, codings     int
 	length               uint64
@@ -167,7 +179,7 @@
 	return nil
 }
 
-// checkHeadField checks a field of a head, and notes what it states about the framing.
+// checkHeadField checks a field of a head, and records what head holds of it.
 func (c *Checker) checkHeadField(line []byte) error {
 	name, value, err := splitField(line)
 	if err != nil {
@@ -188,6 +200,10 @@
 			return errors.Newf("lengths %s and %s", h.lengthText, value)
 		}
 		h.length, h.lengthText = n, string(value)
+	case bytes.EqualFold(name, []byte("Connection")):
+		h.changed.Connection = append(h.changed.Connection, string(value))
+	case bytes.EqualFold(name, []byte("Cache-Control")):
+		h.changed.HasCacheControl = true
 	}
 	return nil
 }
@@ -204,6 +220,9 @@
 	case !hasContent && (h.codings > 0 || h.length > 0):
 		return errors.Newf("answer with the status %d states that it has content", h.status)
 	}
+	if c.OnHead != nil {
+		c.OnHead(h.changed)
+	}
 	switch {
 	case !hasContent || h.status == http.StatusNotModified || c.IsHead || h.lengths > 0 && h.length == 0:
 		c.next = statusLine
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -128,7 +128,10 @@
 	checked *http1.Reader
 	// headLimit is what reader reads from. It bounds the bytes that are read from checked for
 	// the head of an answer.
-	headLimit   *io.LimitedReader
+	headLimit *io.LimitedReader
+	// changed holds the changed fields of the heads that checked has read and reader has not
+	// returned.
+	changed     []http1.ChangedFields
 	idleTimeout time.Duration
 	idleSince   time.Time
 	reused      bool
@@ -426,6 +429,7 @@
 	switch {
 	case err == nil:
 		c.headLimit.N = math.MaxInt64
+		c.restoreFields(resp.Header)
 		return resp, nil
 	case c.headLimit.N <= 0:
 		err = errors.Mark(errors.Newf("head of answer exceeds %d bytes", maxHeadBytes), ErrInvalid)
@@ -438,6 +442,18 @@
 	return nil, err
 }
 
+// restoreFields undoes the changes of the library's reader to the header of the next head.
+func (c *conn) restoreFields(header http.Header) {
+	changed := c.changed[0]
+	c.changed = c.changed[1:]
+	if len(changed.Connection) > 0 {
+		header["Connection"] = changed.Connection
+	}
+	if !changed.HasCacheControl {
+		delete(header, "Cache-Control")
+	}
+}
+
 // readError adds the reason to an error of a parser: the error of the connection, or that
 // the bytes received are invalid.
 func (c *conn) readError(err error) error {
@@ -667,6 +683,7 @@
 	c := &conn{Conn: raw}
 	c.source = &source{Reader: c}
 	c.checked = http1.NewReader(c.source)
+	c.checked.OnHead = func(f http1.ChangedFields) { c.changed = append(c.changed, f) }
 	c.headLimit = &io.LimitedReader{R: c.checked, N: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c.headLimit, readBufferBytes)
 	return c
