--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -114,6 +114,27 @@
 	return s
 }
 
+// serveConnections registers a backend server that calls serve with each connection.
+func (f *fixture) serveConnections(id string, serve func(c net.Conn)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	entry := platformtest.NewServer(id, nil)
+	f.store.Put(platform.ServersTopic, id, entry.RegistrationAt(listener.Addr().String(), "s", "zone-a", "ready"))
+	entry.Close()
+}
+
 func always(b platformtest.Behavior) func(int, platformtest.Run) platformtest.Behavior {
 	return func(int, platformtest.Run) platformtest.Behavior { return b }
 }
--- a/internal/transport/http1/checker.go
+++ b/internal/transport/http1/checker.go
@@ -107,8 +107,8 @@
 	}
 	line := p[:end]
 	if len(c.line) > 0 {
-		line = append(c.line, line...)
-		c.line = c.line[:0]
+		c.line = append(c.line, line...)
+		line, c.line = c.line, c.line[:0]
 	}
 	if err := c.checkLine(line); err != nil {
 		return 0, errors.Mark(err, ErrInvalid)
@@ -188,16 +188,19 @@
 	h := &c.head
 	switch {
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		if h.codings++; h.codings > 1 || !bytes.EqualFold(value, []byte("chunked")) {
-			return errors.Newf("transfer coding %q is not chunked alone", quoted(value))
+		if !bytes.EqualFold(value, []byte("chunked")) {
+			return errors.Newf("transfer coding %q is not supported", quoted(value))
+		}
+		if h.codings++; h.codings > 1 {
+			return errors.New("answer has two transfer codings")
 		}
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		n, err := strconv.ParseUint(string(value), 10, 63)
 		if err != nil {
-			return errors.Wrap(err, "invalid Content-Length")
+			return errors.Newf("invalid Content-Length %q", quoted(value))
 		}
 		if h.lengths++; h.lengths > 1 && h.lengthText != string(value) {
-			return errors.Newf("lengths %s and %s", h.lengthText, value)
+			return errors.Newf("answer has the lengths %s and %s", quoted([]byte(h.lengthText)), quoted(value))
 		}
 		h.length, h.lengthText = n, string(value)
 	case bytes.EqualFold(name, []byte("Connection")):
@@ -294,7 +297,7 @@
 	case len(name) == 0 || tokenLength(name) < len(name):
 		return nil, nil, errors.Newf("invalid field name %q", quoted(name))
 	case !isFieldValue(value):
-		return nil, nil, errors.Newf("invalid value %q of field %s", quoted(value), name)
+		return nil, nil, errors.Newf("invalid value %q of field %s", quoted(value), quoted(name))
 	}
 	return name, bytes.Trim(value, " \t"), nil
 }
