--- a/internal/transport/http1/checker.go
+++ b/internal/transport/http1/checker.go
@@ -38,8 +38,9 @@
 // Checker checks the answers that arrive on a connection, one after the other. The zero value
 // expects the first of them.
 type Checker struct {
-	// IsHead is set while the answers are those to HEAD requests, which have no content.
-	IsHead bool
+	// NoContent is set while the answers are those to HEAD requests. Their heads state the framing
+	// of content that does not follow.
+	NoContent bool
 	// OnHead is called at the end of each head. It may be nil.
 	OnHead func(ChangedFields)
 
@@ -101,7 +102,7 @@
 	end := bytes.IndexByte(p, '\n') + 1
 	if end == 0 {
 		if c.line = append(c.line, p...); len(c.line) > maxLineBytes {
-			return 0, invalidf("line exceeds %d bytes", maxLineBytes)
+			return 0, errors.Mark(errors.Newf("line exceeds %d bytes", maxLineBytes), ErrInvalid)
 		}
 		return len(p), nil
 	}
@@ -227,7 +228,7 @@
 		c.OnHead(h.changed)
 	}
 	switch {
-	case !hasContent || h.status == http.StatusNotModified || c.IsHead || h.lengths > 0 && h.length == 0:
+	case !hasContent || h.status == http.StatusNotModified || c.NoContent || h.lengths > 0 && h.length == 0:
 		c.next = statusLine
 	case h.codings > 0:
 		c.next = chunkSize
@@ -351,7 +352,3 @@
 const maxQuotedBytes = 80
 
 func quoted(line []byte) []byte { return line[:min(len(line), maxQuotedBytes)] }
-
-func invalidf(format string, args ...any) error {
-	return errors.Mark(errors.Newf(format, args...), ErrInvalid)
-}
--- a/internal/transport/http1/checker_test.go
+++ b/internal/transport/http1/checker_test.go
@@ -105,7 +105,7 @@
 // TestHeadIsFollowedByContent: answers to HEAD requests state the framing of content that they
 // don't have.
 func TestHeadIsFollowedByContent(t *testing.T) {
-	c := http1.Checker{IsHead: true}
+	c := http1.Checker{NoContent: true}
 	for _, framing := range []string{"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""} {
 		if n, err := c.Check([]byte(ok + framing + "\r\n")); err != nil {
 			t.Errorf("%q: %d bytes are valid: %v", framing, n, err)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -315,7 +315,7 @@
 func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Answer, error) {
 	a := &Answer{pool: p, conn: c, onData: req.OnData, OnNewConnection: !c.reused, written: make(chan error, 1), sentAt: time.Now()}
 	a.stopCancel = context.AfterFunc(ctx, a.cancel)
-	c.checked.IsHead = req.Method == http.MethodHead
+	c.checked.NoContent = req.Method == http.MethodHead
 	err := errors.Wrap(a.write(req), "write request")
 	if err == nil {
 		err = a.readHead(req)
