--- a/internal/transport/http1/answers_test.go
+++ b/internal/transport/http1/answers_test.go
@@ -7,7 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
-	"strings"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -88,47 +88,37 @@
 // ownID is the id of the answers that belong to the request; others are skipped.
 const ownID = "a"
 
-// checkPool checks what a pool makes of the bytes against a strict reader.
-func checkPool(t failer, stream string, pieces []string, isHead bool) {
-	c := newReplayConn(pieces)
+// readWithPool returns the answer to a request that is sent on c by a pool, and the statuses of the
+// heads that the pool has read.
+func readWithPool(c *replayConn, isHead bool) (a *upstream.Answer, body string, heads []int, err error) {
 	pool := upstream.NewPool("server", upstream.Config{
 		MaxConnections: func() int { return 1 }, DefaultIdleTimeout: time.Minute,
-		Dial: func(context.Context, *net.Dialer, string) (net.Conn, error) { return c, nil },
+		Dial:   func(context.Context, *net.Dialer, string) (net.Conn, error) { return c, nil },
+		OnHead: func(status int, _ http.Header, _ time.Time) { heads = append(heads, status) },
 	})
-	var seen []int
-	request := upstream.Request{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\n\r\n"), MaxIdle: time.Minute, Matches: func(status int, h http.Header) bool {
-		seen = append(seen, status)
-		return h.Get("Id") == ownID
-	}}
+	request := upstream.Request{
+		Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\n\r\n"), MaxIdle: time.Minute,
+		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == ownID },
+	}
 	if isHead {
 		request.Method = http.MethodHead
 	}
-	body := ""
-	a, err := pool.Do(context.Background(), request)
-	if err == nil {
-		var data []byte
-		data, err = io.ReadAll(a.Body)
-		body = string(data)
-		a.Close()
+	a, err = pool.Do(context.Background(), request)
+	if err != nil {
+		return nil, "", heads, err
 	}
-	delivered, isClosed := c.state()
+	data, err := io.ReadAll(a.Body)
+	a.Close()
+	return a, string(data), heads, err
+}
 
+// checkPool checks what a pool makes of the bytes against a strict reader.
+func checkPool(t failer, stream string, pieces []string, isHead bool) {
+	c := newReplayConn(pieces)
+	a, body, heads, err := readWithPool(c, isHead)
+	delivered, isClosed := c.state()
 	r := strictReader{rest: stream}
-	var want strictAnswer
-	var v verdict
-	var wantSeen []int
-	for {
-		if want, v = r.answer(isHead); want.fields != nil && want.status >= 200 && v != invalid {
-			wantSeen = append(wantSeen, want.status)
-		}
-		if v != valid || strings.Join(want.fields["Id"][:min(1, len(want.fields["Id"]))], "") == ownID {
-			break
-		}
-		if want.endsConnection || want.minorVersion == 0 || closes(want.fields["Connection"]) {
-			v = incomplete
-			break
-		}
-	}
+	want, v, wantHeads := r.ownAnswer(ownID, isHead)
 	switch {
 	case v == valid && err != nil:
 		t.Errorf("pool: %q: error %v, want status %d, body %q", stream, err, want.status, want.body)
@@ -144,19 +134,9 @@
 	case v == invalid && (!errors.Is(err, upstream.ErrInvalid) || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF)):
 		t.Errorf("pool: %q: error %v, want ErrInvalid", stream, err)
 	}
-	if v == valid && fmt.Sprint(seen) != fmt.Sprint(wantSeen) {
-		t.Errorf("pool: %q: heads with the statuses %v were read, want %v", stream, seen, wantSeen)
-	}
-}
-
-// closes reports whether a connection is closed after an answer with these values of Connection.
-func closes(connection []string) bool {
-	for option := range strings.SplitSeq(strings.Join(connection, ","), ",") {
-		if strings.EqualFold(strings.Trim(option, " \t"), "close") {
-			return true
-		}
+	if !slices.Equal(heads, wantHeads) {
+		t.Errorf("pool: %q: heads with the statuses %v were believed, want %v", stream, heads, wantHeads)
 	}
-	return false
 }
 
 // checkTransport checks what an http.Transport makes of the bytes against a strict reader.
--- a/internal/transport/http1/strict_test.go
+++ b/internal/transport/http1/strict_test.go
@@ -13,6 +13,8 @@
 	// fields holds the values of each field, by canonical name.
 	fields map[string][]string
 	body   string
+	// isHeadValid is set if the head is complete and valid, whatever follows it.
+	isHeadValid bool
 	// endsConnection is set if the answer ends with its connection.
 	endsConnection bool
 }
@@ -111,6 +113,35 @@
 	}
 }
 
+// ownAnswer reads answers up to the first one with an id, as a pool does: after one to another request,
+// the connection may have ended. It also returns the statuses of the heads that are valid.
+func (r *strictReader) ownAnswer(id string, isHead bool) (a strictAnswer, v verdict, heads []int) {
+	for {
+		a, v := r.answer(isHead)
+		if a.isHeadValid && a.status >= 200 {
+			heads = append(heads, a.status)
+		}
+		ids := a.fields["Id"]
+		switch {
+		case v != valid || len(ids) > 0 && ids[0] == id:
+			return a, v, heads
+		case a.endsConnection || a.minorVersion == 0 || closes(a.fields["Connection"]):
+			return a, incomplete, heads
+		}
+	}
+}
+
+// closes reports whether a connection is closed after an answer with these values of Connection.
+func closes(connection []string) bool {
+	for option := range strings.SplitSeq(strings.Join(connection, ","), ",") {
+		if strings.EqualFold(strings.Trim(option, " \t"), "close") {
+			return true
+		}
+	}
+	return false
+}
+
+// anyAnswer reads the next answer.
 func (r *strictReader) anyAnswer(isHead bool) (strictAnswer, verdict) {
 	line, v := r.line()
 	if v != valid {
@@ -142,9 +173,11 @@
 		return a, invalid
 	}
 	hasNoContent := a.status < 200 || a.status == 204
-	switch {
-	case hasNoContent && (isChunked || length > 0):
+	if hasNoContent && (isChunked || length > 0) {
 		return a, invalid
+	}
+	a.isHeadValid = true
+	switch {
 	case hasNoContent || a.status == 304 || isHead:
 	case isChunked:
 		a.body, v = r.chunks()
