--- a/internal/transport/http1/answers_test.go
+++ b/internal/transport/http1/answers_test.go
@@ -29,14 +29,17 @@
 	requested chan struct{}
 	once      sync.Once
 
+	// closed is closed once the connection is.
+	closed    chan struct{}
+	closeOnce sync.Once
+
 	mu        sync.Mutex
 	pieces    []string
 	delivered int
-	closed    bool
 }
 
 func newReplayConn(pieces []string) *replayConn {
-	return &replayConn{pieces: pieces, requested: make(chan struct{})}
+	return &replayConn{pieces: pieces, requested: make(chan struct{}), closed: make(chan struct{})}
 }
 
 func (c *replayConn) Write(p []byte) (int, error) {
@@ -46,11 +49,11 @@
 
 func (c *replayConn) Read(p []byte) (int, error) {
 	<-c.requested
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
+	if c.isClosed() {
 		return 0, net.ErrClosed
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if len(c.pieces) == 0 {
 		return 0, io.EOF
 	}
@@ -64,22 +67,32 @@
 
 func (c *replayConn) Close() error {
 	c.once.Do(func() { close(c.requested) })
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
+	c.closeOnce.Do(func() { close(c.closed) })
 	return nil
 }
 
-func (c *replayConn) state() (delivered int, isClosed bool) {
+func (c *replayConn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// deliveredBytes returns the number of bytes that have been read.
+func (c *replayConn) deliveredBytes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.delivered, c.closed
+	return c.delivered
 }
 
 func (*replayConn) SetDeadline(time.Time) error      { return nil }
 func (*replayConn) SetReadDeadline(time.Time) error  { return nil }
 func (*replayConn) SetWriteDeadline(time.Time) error { return nil }
 
+const testTimeout = 20 * time.Second
+
 // failer is what checks report to.
 type failer interface {
 	Errorf(format string, args ...any)
@@ -116,7 +129,6 @@
 func checkPool(t failer, stream string, pieces []string, isHead bool) {
 	c := newReplayConn(pieces)
 	a, body, heads, err := readWithPool(c, isHead)
-	delivered, isClosed := c.state()
 	r := strictReader{rest: stream}
 	want, v, wantHeads := r.ownAnswer(ownID, isHead)
 	switch {
@@ -124,12 +136,12 @@
 		t.Errorf("pool: %q: error %v, want status %d, body %q", stream, err, want.status, want.body)
 	case v == valid:
 		checkAnswer(t, "pool", stream, a.Status, a.Header, body, want, framingFields)
-		if !isClosed && (want.endsConnection || delivered > len(stream)-len(r.rest)) {
+		if !c.isClosed() && (want.endsConnection || c.deliveredBytes() > len(stream)-len(r.rest)) {
 			t.Errorf("pool: %q: the connection is kept after an answer that is followed by %q", stream, r.rest)
 		}
 	case err == nil:
 		t.Errorf("pool: %q: status %d, body %q, want an error", stream, a.Status, body)
-	case !isClosed:
+	case !c.isClosed():
 		t.Errorf("pool: %q: the connection of a broken answer is kept", stream)
 	case v == invalid && (!errors.Is(err, upstream.ErrInvalid) || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF)):
 		t.Errorf("pool: %q: error %v, want ErrInvalid", stream, err)
@@ -162,6 +174,12 @@
 		checkAnswer(t, "transport", stream, resp.StatusCode, resp.Header, body, want, append([]string{"Connection", "Cache-Control"}, framingFields...))
 	case err == nil:
 		t.Errorf("transport: %q: status %d, body %q, want an error", stream, resp.StatusCode, body)
+	default:
+		select {
+		case <-c.closed:
+		case <-time.After(testTimeout):
+			t.Errorf("transport: %q: the connection of a broken answer is kept", stream)
+		}
 	}
 }
 
