--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -61,6 +61,8 @@
 	status   string
 	// statements are fields of the first answer.
 	statements []string
+	// isBroken is set if the first answer is broken.
+	isBroken bool
 }
 
 func (r scriptedRequest) String() string {
@@ -114,7 +116,7 @@
 	if !strings.HasPrefix(h.status, "200") {
 		h.body = "failure"
 	}
-	return r.form.encode(h), !r.form.isValid, h.framing == unframed || r.form.closes
+	return r.form.encode(h), r.isBroken, h.framing == unframed || r.form.closes
 }
 
 // answerToCheck returns the answer to a check.
@@ -190,6 +192,7 @@
 
 // checkBroken sends a request whose first answer is broken, and checks what its caller gets.
 func (b *answerFormTrial) checkBroken(r scriptedRequest) {
+	r.isBroken = true
 	resp, body, runs, err := b.send(r)
 	mayRetry := r.path == "/again/" || r.path == "/stream/"
 	switch {
@@ -268,7 +271,7 @@
 		for _, status := range []string{"200 OK", "404 Not OK", "500 Not OK", "503 Not OK"} {
 			t.Run(fmt.Sprintf("tunnel %v, %s", isTunneled, status[:3]), func(t *testing.T) {
 				t.Parallel()
-				forEach(invalidAnswers, newAnswerFormTrial(t, isTunneled).checkBroken, func(r *scriptedRequest) { r.status = status })
+				forEach(allInvalidAnswers(), newAnswerFormTrial(t, isTunneled).checkBroken, func(r *scriptedRequest) { r.status = status })
 			})
 		}
 	}
@@ -291,7 +294,7 @@
 			t.Run(fmt.Sprintf("tunnel %v, %s", isTunneled, v.name), func(t *testing.T) {
 				t.Parallel()
 				b := newAnswerFormTrial(t, isTunneled)
-				forms := slices.DeleteFunc(slices.Clone(invalidAnswers), func(f answerForm) bool { return !f.isHeadInvalid() })
+				forms := slices.DeleteFunc(allInvalidAnswers(), func(f answerForm) bool { return !f.isHeadInvalid() })
 				forEach(forms, b.checkBroken, func(r *scriptedRequest) { r.status, r.statements = v.status, v.statements })
 				b.checkStatements()
 			})
@@ -337,6 +340,42 @@
 	}
 }
 
+// TestUnusualFieldsAreChanged: unusual fields that RFC 9112 allows reach callers as the server has
+// sent them, in answers of success and of failure.
+func TestUnusualFieldsAreChanged(t *testing.T) {
+	t.Parallel()
+	want := http.Header{
+		"X-Bytes": {"\xe9\xff\x80"}, "X-Empty": {""}, "X-Blanks": {"a \t b"}, "X-Marks": {"\"(;:,\\"}, "X-Twice": {"1", "2"}, "X!#$%&'*+-.^_`|~": {"v"},
+	}
+	for i := range 300 {
+		want[fmt.Sprint("X-Field-", i)] = []string{fmt.Sprint("value ", i)}
+	}
+	var fields []string
+	for name, values := range want {
+		for _, v := range values {
+			fields = append(fields, name+": \t"+v+" ")
+		}
+	}
+	for _, isTunneled := range []bool{false, true} {
+		b := newAnswerFormTrial(t, isTunneled)
+		for _, status := range []string{"200", "404"} {
+			forEach(validAnswers[:1], func(r scriptedRequest) {
+				r.id += "-" + status
+				resp, _, _, err := b.send(r)
+				if err != nil || fmt.Sprint(resp.StatusCode) != status {
+					t.Errorf("tunnel %v, %s: %s, error %v", isTunneled, r, describeHead(resp), err)
+					return
+				}
+				for name, values := range want {
+					if !slices.Equal(resp.Header[name], values) {
+						t.Errorf("tunnel %v, %s: %s is %q, want %q", isTunneled, r, name, resp.Header[name], values)
+					}
+				}
+			}, func(r *scriptedRequest) { r.status, r.statements = status, fields })
+		}
+	}
+}
+
 // TestFieldsOfConnectionReachCallers: callers get the fields that the server has sent, without those
 // that concern its connection to this node, and no others.
 func TestFieldsOfConnectionReachCallers(t *testing.T) {
@@ -344,7 +383,7 @@
 	b := newAnswerFormTrial(t, false)
 	for id, line := range map[string]string{"id-1": "Connection: X-Hop", "id-2": "Connection: close, X-Hop", "id-3": "Connection: x-hop\r\nConnection: close", "id-4": "Pragma: no-cache"} {
 		b.mu.Lock()
-		b.requests[id] = scriptedRequest{id: id, form: answerForm{line, "", true, withLine(line + "\r\nX-Hop: v"), true}, framing: byLength, status: "200 OK"}
+		b.requests[id] = scriptedRequest{id: id, form: answerForm{line, "", true, withLine(line + "\r\nX-Hop: v")}, framing: byLength, status: "200 OK"}
 		b.mu.Unlock()
 		conn, err := rawCallers[1].open(b.node, "/again/"+id, id, "body "+id, 2500*time.Millisecond)
 		if err != nil {
--- a/internal/gateway/reset_upload_test.go
+++ b/internal/gateway/reset_upload_test.go
@@ -49,8 +49,24 @@
 }
 
 func (f *fixture) addEarlyServer(id string) *earlyServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	s := &earlyServer{id: id, answered: map[string]int{}}
-	f.serveConnections(id, func(c net.Conn) { s.serve(c.(*net.TCPConn)) })
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c.(*net.TCPConn))
+		}
+	}()
+	entry := platformtest.NewServer(id, nil)
+	f.store.Put(platform.ServersTopic, id, entry.RegistrationAt(listener.Addr().String(), "s", "zone-a", "ready"))
+	entry.Close()
 	return s
 }
 
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"coltsfootpath.example/coltsfootpath/platform"
 	"coltsfootpath.example/coltsfootpath/platform/platformtest"
 )
 
@@ -27,8 +28,24 @@
 var statusPath = regexp.MustCompile(`/(\d{3})-(\w+)-`)
 
 func (f *fixture) addStatusServer(id string) *statusServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	s := &statusServer{id: id, runs: map[string]int{}}
-	f.serveConnections(id, s.serve)
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	entry := platformtest.NewServer(id, nil)
+	f.store.Put(platform.ServersTopic, id, entry.RegistrationAt(listener.Addr().String(), "s", "zone-a", "ready"))
+	entry.Close()
 	return s
 }
 
