--- a/review/_play2/play.go
+++ b/review/_play2/play.go
@@ -256,8 +256,9 @@
 // beat is the interval at which servers write their entries.
 const beat = 1200 * time.Millisecond
 
-// register writes the entry of a server every beat until the returned function removes it.
-func (p *play) register(id, service, address, zone, version string, slots int) (stop func()) {
+// register writes the entry of a server every beat until the returned function is called,
+// which can remove it.
+func (p *play) register(id, service, address, zone, version string, slots int) (stop func(remove bool)) {
 	born, done := time.Now().UnixMilli(), make(chan struct{})
 	put := func(seq int) {
 		entry, _ := json.Marshal(map[string]any{
@@ -276,10 +277,13 @@
 			}
 		}
 	}()
-	return sync.OnceFunc(func() {
-		close(done)
-		p.store.Put(platform.ServersTopic, id, nil)
-	})
+	var once sync.Once
+	return func(remove bool) {
+		once.Do(func() { close(done) })
+		if remove {
+			p.store.Put(platform.ServersTopic, id, nil)
+		}
+	}
 }
 
 // answer is what a client has received.
