--- a/review/_play2/play.go
+++ b/review/_play2/play.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"sort"
 	"strings"
 	"sync"
 	"syscall"
@@ -325,13 +324,3 @@
 	_, err = b.ReadFrom(resp.Body)
 	return answer{status: resp.StatusCode, header: resp.Header, body: b.String(), err: err}
 }
-
-// sortedKeys returns the keys of a map in order.
-func sortedKeys[V any](m map[string]V) []string {
-	var keys []string
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
