--- a/review/_play2/case6.go
+++ b/review/_play2/case6.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -9,7 +10,7 @@
 	"coltsfootpath.example/coltsfootpath/platform"
 )
 
-func init() { cases["6"] = playAdditionalBytes }
+func init() { cases["6"] = playBadVersion }
 
 // plainDocument has the plain service and its routes as the sheet of the small deployment states
 // them.
@@ -20,54 +21,57 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":5000,"idleTimeoutMs":15000},
 "tenants":[{"name":"tenant-1","apiKeys":["key-1"],"unit":"tokens","plainTokens":200,"ratePerS":0,"burst":0}]}`
 
-// playAdditionalBytes lets servers send additional bytes after some of their complete answers, late.
-// The bytes are a rejection that names no request.
-func playAdditionalBytes(p *play) error {
+// sent is a request that a client has sent.
+type sent struct {
+	at     time.Time
+	answer answer
+}
+
+// playBadVersion lets the operator order a version that fails a part of the requests of one route.
+func playBadVersion(p *play) error {
 	const (
-		serverCount = 4
-		postEvery   = 35 * time.Millisecond
-		lookEvery   = 70 * time.Millisecond
-		total       = 40 * time.Second
-		// The site file has for_s = 5.0, x = 0.03 and share = 0.6 for "garble" with "extra late". Of
-		// four servers, 0.6 are two.
-		episode    = 5 * time.Second
-		pause      = time.Second
-		extraShare = 0.03
-		garbling   = 2
+		serverCount  = 4
+		lookEvery    = 83 * time.Millisecond
+		postEvery    = 1150 * time.Millisecond
+		failingShare = 0.45
+		// orderTime is the time within which the operator orders the move.
+		orderTime   = 15 * time.Second
+		rollback    = 5 * time.Second
+		total       = 108 * time.Second
+		exposeShare = 0.1
+		exposeSlack = 50
+		badAnswers  = 50
 	)
 	p.store.Put(platform.OperatorTopic, platform.DocumentKey, []byte(plainDocument))
-	var servers []*plainServer
-	for i := range serverCount {
-		s, err := newPlainServer(p, fmt.Sprintf("i-%d", i+1))
-		if err != nil {
-			return err
+	share := 0.0
+	if p.trouble {
+		share = failingShare
+	}
+	byVersion := map[string][]*plainServer{}
+	var old []func()
+	begin := func(version string, failing float64) error {
+		for i := range serverCount {
+			s, err := newPlainServer(p, fmt.Sprintf("i-%s-%d", version, i+1), version, failing)
+			if err != nil {
+				return err
+			}
+			byVersion[version] = append(byVersion[version], s)
+			leave := p.register(s.id, "plain", s.listener.Addr().String(), fmt.Sprintf("zone-%d", i+1), version, plainSlots)
+			if version == "v1" {
+				old = append(old, func() { s.stop(); leave() })
+			}
 		}
-		servers = append(servers, s)
-		defer p.register(s.id, "plain", s.listener.Addr().String(), fmt.Sprintf("zone-%d", i+1), plainSlots)()
+		return nil
+	}
+	if err := begin("v1", 0); err != nil {
+		return err
 	}
 	if err := p.startGateways(2); err != nil {
 		return err
 	}
-	time.Sleep(time.Second)
 	end := time.Now().Add(total)
-	if p.trouble {
-		go func() {
-			for time.Now().Before(end) {
-				p.note("trouble: i-1 and i-2 send additional bytes after %v of their answers", extraShare)
-				for _, s := range servers[:garbling] {
-					s.setExtra(extraShare)
-				}
-				time.Sleep(episode)
-				p.note("trouble ends")
-				for _, s := range servers {
-					s.setExtra(0)
-				}
-				time.Sleep(pause)
-			}
-		}()
-	}
 	var mu sync.Mutex
-	answers := map[string]answer{}
+	requests := map[string]sent{}
 	var load sync.WaitGroup
 	send := func(c *client, method, path, id string) {
 		load.Go(func() {
@@ -75,11 +79,12 @@
 			if method == "POST" {
 				body = strings.Repeat("x", 600)
 			}
+			at := time.Now()
 			p.note("client sends %s %s", method, id)
 			a := c.do(method, path, id, body, 1500*time.Millisecond)
 			p.note("client gets %d for %s, error %v", a.status, id, a.err)
 			mu.Lock()
-			answers[id] = a
+			requests[id] = sent{at, a}
 			mu.Unlock()
 		})
 	}
@@ -87,50 +92,72 @@
 		c := newClient(g)
 		load.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				send(c, "POST", "/post/1", fmt.Sprintf("post-%d-%d", i, n))
-				time.Sleep(postEvery)
+				send(c, "GET", "/look/1", fmt.Sprintf("look-%d-%d", i, n))
+				time.Sleep(lookEvery)
 			}
 		})
 		load.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				send(c, "GET", "/look/1", fmt.Sprintf("look-%d-%d", i, n))
-				time.Sleep(lookEvery)
+				send(c, "POST", "/post/1", fmt.Sprintf("post-%d-%d", i, n))
+				time.Sleep(postEvery)
 			}
 		})
 	}
-	load.Wait()
+	time.Sleep(4 * time.Second)
+	if err := begin("v2", share); err != nil {
+		return err
+	}
 	time.Sleep(500 * time.Millisecond)
-	p.checkOnce(servers, answers)
-	return nil
-}
-
-// checkOnce checks the rules TWICE and REFUSED for the requests that must not be repeated.
-func (p *play) checkOnce(servers []*plainServer, answers map[string]answer) {
-	runs := map[string][]run{}
-	for _, s := range servers {
-		s.mu.Lock()
-		for id, r := range s.runs {
-			runs[id] = append(runs[id], r...)
+	orderedAt := time.Now()
+	p.note("operator orders v2 within %v; it fails %v of the posts", orderTime, share)
+	p.store.Put(platform.OperatorTopic, "rollout/plain", fmt.Appendf(nil, `{"service":"plain","target":"v2","durationS":%g}`, orderTime.Seconds()))
+	for state := ""; time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if now := string(p.store.Newest(platform.StatusTopic, "rollout/plain")); now != state {
+			state = now
+			p.note("status of the move: %s", state)
+			if strings.Contains(state, `"done"`) {
+				for _, stop := range old {
+					stop()
+				}
+			}
 		}
-		s.mu.Unlock()
 	}
-	posts, served := 0, 0
-	for _, id := range sortedKeys(answers) {
-		if !strings.HasPrefix(id, "post-") {
-			continue
+	load.Wait()
+	var runs []run
+	for _, list := range byVersion {
+		for _, s := range list {
+			s.mu.Lock()
+			runs = append(runs, s.runs...)
+			s.mu.Unlock()
 		}
-		posts++
-		a := answers[id]
-		if a.err == nil && a.status == 200 {
-			served++
+	}
+	slices.SortFunc(runs, func(a, b run) int { return a.at.Compare(b.at) })
+	all, exposed, bad, late := 0, 0, 0, 0
+	var lastBad time.Time
+	for _, r := range runs {
+		at := requests[r.id].at
+		if at.After(orderedAt) && at.Before(orderedAt.Add(orderTime)) {
+			all++
+			if r.version == "v2" {
+				exposed++
+			}
 		}
-		if len(runs[id]) > 1 {
-			p.breaks("TWICE: %s ran %d times, at %s and %s; its client got %d", id, len(runs[id]), runs[id][0].server, runs[id][1].server, a.status)
+		if r.failed {
+			if bad++; bad == badAnswers {
+				lastBad = r.at
+			}
 		}
-		if a.err == nil && (a.status == 503 || a.status == 429) && len(runs[id]) > 0 {
-			p.breaks("REFUSED: %s was answered %d and has run at %s", id, a.status, runs[id][0].server)
+		if r.version == "v2" && !lastBad.IsZero() && at.After(lastBad.Add(rollback)) {
+			late++
 		}
 	}
-	p.note("%d posts, %d served", posts, served)
-	fmt.Printf("%d posts, %d served\n", posts, served)
+	p.note("%d bad answers; %d requests to v2 of %d until the deadline; %d later than %v after bad answer %d", bad, exposed, all, late, rollback, badAnswers)
+	fmt.Printf("%d bad answers; %d requests to v2 of %d until the deadline; %d later than %v after bad answer %d\n", bad, exposed, all, late, rollback, badAnswers)
+	if share > 0 && float64(exposed) > exposeShare*float64(all)+exposeSlack {
+		p.breaks("EXPOSURE: the bad version got %d of %d requests until the deadline", exposed, all)
+	}
+	if late > 0 {
+		p.breaks("EXPOSURE: the bad version got %d requests that were sent later than %v after its bad answer %d", late, rollback, badAnswers)
+	}
+	return nil
 }
--- a/review/_play2/plain.go
+++ b/review/_play2/plain.go
@@ -7,67 +7,71 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
 
 // run is one run of a request at a server.
 type run struct {
-	server string
-	at     time.Time
+	id      string
+	version string
+	at      time.Time
+	failed  bool
 }
 
 // plainServer is a stand-in for an engine of the plain service.
 type plainServer struct {
-	p        *play
-	id       string
+	p           *play
+	id, version string
+	// failing is the share of the requests on failingPath that it fails.
+	failing  float64
 	listener net.Listener
 	slots    chan struct{}
-	mu       sync.Mutex
-	// extra is the share of its complete answers after which it sends additional bytes, late:
-	// where the next answer on the connection is expected.
-	extra  float64
+
+	mu     sync.Mutex
 	queued int
-	runs   map[string][]run
+	conns  map[net.Conn]bool
+	runs   []run
 }
 
+// failingPath is the path of the route on which a bad version fails.
+const failingPath = "/post/"
+
 const (
 	plainSlots = 6
 	plainQueue = 24
 )
 
-func newPlainServer(p *play, id string) (*plainServer, error) {
+func newPlainServer(p *play, id, version string, failing float64) (*plainServer, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &plainServer{p: p, id: id, listener: l, slots: make(chan struct{}, plainSlots), runs: map[string][]run{}}
+	s := &plainServer{p: p, id: id, version: version, failing: failing, listener: l, slots: make(chan struct{}, plainSlots), conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
 			go s.serve(c)
 		}
 	}()
 	return s, nil
 }
 
-// strayBytes are the additional bytes: the answer of a server that sheds, as "fleetbench wire"
-// shows it. They name no request.
-const strayBytes = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
-
-func (s *plainServer) setExtra(share float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.extra = share
-}
-
-func (s *plainServer) drawExtra() bool {
+// stop ends the server at once, with its connections.
+func (s *plainServer) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return rand.Float64() < s.extra
+	_ = s.listener.Close()
+	for c := range s.conns {
+		_ = c.Close()
+	}
 }
 
 // work returns the time that a request takes: 30 ms on average.
@@ -78,7 +82,6 @@
 func (s *plainServer) serve(c net.Conn) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
-	isLate := false
 	for {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
@@ -87,17 +90,9 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		id := req.Header.Get(headerID)
-		if isLate {
-			s.p.note("server %s sends additional bytes where its answer to %s is expected", s.id, id)
-			if _, err := io.WriteString(c, strayBytes); err != nil {
-				return
-			}
-		}
-		if _, err := io.WriteString(c, s.answer(req, id)); err != nil {
+		if _, err := io.WriteString(c, s.answer(req, req.Header.Get(headerID))); err != nil {
 			return
 		}
-		isLate = s.drawExtra()
 	}
 }
 
@@ -120,15 +115,17 @@
 		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerID, id, headerNotRun)
 	}
 	s.slots <- struct{}{}
-	s.mu.Lock()
-	s.runs[id] = append(s.runs[id], run{s.id, time.Now()})
-	s.mu.Unlock()
-	s.p.note("server %s runs %s %s", s.id, req.Method, id)
+	failed := strings.HasPrefix(req.URL.Path, failingPath) && rand.Float64() < s.failing
+	s.p.note("server %s (%s) runs %s %s, fails %v", s.id, s.version, req.Method, id, failed)
 	time.Sleep(work())
 	<-s.slots
 	s.mu.Lock()
 	s.queued--
+	s.runs = append(s.runs, run{id, s.version, time.Now(), failed})
 	s.mu.Unlock()
+	if failed {
+		return fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\n%s: %s\r\n%s: seal-%s\r\nContent-Length: 0\r\n\r\n", headerID, id, headerSeal, s.id)
+	}
 	body := "done by " + s.id + " for " + id
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerSeal, s.id, len(body), body)
 }
